--- /dev/null
+++ b/libraries/base/clock.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+
+namespace base {
+
+/// The one clock of the project: a standard clock of whole milliseconds that never goes back.
+/// Thread safety: every function may be called from any thread.
+class clock {
+public:
+    using rep = std::int64_t;
+    using period = std::milli;
+    using duration = std::chrono::duration<rep, period>;
+    using time_point = std::chrono::time_point<clock>;
+    static constexpr bool is_steady = true;
+
+    /// Returns the milliseconds since an arbitrary start of this host.
+    [[nodiscard]] static time_point now() noexcept {
+        return time_point{
+            std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch())};
+    }
+};
+
+/// Anything that tells the time in the project's unit. Production code uses `clock`, tests `manual_clock`.
+template <typename Source>
+concept time_source = requires(const Source& source) {
+    { source.now() } -> std::same_as<clock::time_point>;
+};
+
+/// A clock that stands still until a test moves it.
+/// Thread safety: `now` and `advance` may be called from any thread.
+class manual_clock {
+public:
+    /// Returns the time that the test has set, in milliseconds from zero.
+    [[nodiscard]] clock::time_point now() const noexcept {
+        return clock::time_point{clock::duration{elapsed_ms_.load(std::memory_order_acquire)}};
+    }
+
+    /// Moves the clock forward. Precondition: `step` is not negative.
+    void advance(clock::duration step) noexcept {
+        elapsed_ms_.fetch_add(step.count(), std::memory_order_acq_rel);
+    }
+
+private:
+    std::atomic<std::int64_t> elapsed_ms_{0};
+};
+
+static_assert(time_source<clock>);
+static_assert(time_source<manual_clock>);
+
+} // namespace base
--- /dev/null
+++ b/libraries/base/error_kind.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string_view>
+
+namespace base {
+
+/// What went wrong. Each kind has one name on the wire and one remedy.
+enum class error_kind {
+    invalid_request,
+    too_large,
+    unknown_service,
+    unknown_rank,
+    unknown_transaction,
+    token_invalid,
+    token_foreign,
+    key_conflict,
+    key_cancelled,
+    key_expired,
+    statement_invalid,
+    deadline_expired,
+    overloaded,
+    no_primary,
+    term_stale,
+    backend_unavailable,
+    answer_lost,
+    transaction_aborted,
+    shutting_down,
+    peer_unavailable,
+    frame_invalid,
+    platform_unavailable,
+    publish_conflict,
+    settings_invalid,
+    declaration_invalid,
+    not_found,
+    timeout,
+    connection_failed,
+    internal,
+};
+
+/// Returns the name of a kind as it appears in messages, for example `unknown_service`.
+[[nodiscard]] std::string_view name_of(error_kind kind) noexcept;
+
+/// Returns what the reader of an error of this kind can do about it.
+[[nodiscard]] std::string_view remedy_for(error_kind kind) noexcept;
+
+/// Returns the kind with this name, or `error_kind::internal` for a name that no kind has.
+[[nodiscard]] error_kind error_kind_from_name(std::string_view name) noexcept;
+
+} // namespace base
--- /dev/null
+++ b/libraries/base/event.cpp
@@ -0,0 +1,74 @@
+#include <base/event.hpp>
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace base {
+
+namespace {
+
+spdlog::level::level_enum level_of(severity value) {
+    switch (value) {
+    case severity::debug:
+        return spdlog::level::debug;
+    case severity::info:
+        return spdlog::level::info;
+    case severity::warning:
+        return spdlog::level::warn;
+    case severity::error:
+        return spdlog::level::err;
+    }
+    return spdlog::level::err;
+}
+
+bool needs_quotes(std::string_view value) {
+    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+void append_value(std::string& line, std::string_view value) {
+    if (!needs_quotes(value)) {
+        line.append(value);
+        return;
+    }
+    line.push_back('"');
+    for (const char character : value) {
+        if (character == '"' || character == '\\') {
+            line.push_back('\\');
+        }
+        // A line break inside a value would let a caller forge a log line.
+        line.push_back(static_cast<unsigned char>(character) < ' ' ? ' ' : character);
+    }
+    line.push_back('"');
+}
+
+} // namespace
+
+void log_event(const event_definition& definition, std::initializer_list<event_field> fields) {
+    const auto level = level_of(definition.severity_);
+    if (!spdlog::should_log(level)) {
+        return;
+    }
+    std::string line{"E"};
+    line.append(std::to_string(definition.number_)).append(" ").append(definition.name_);
+    for (const auto& field : fields) {
+        line.append(" ").append(field.name_).append("=");
+        append_value(line, field.value_);
+    }
+    spdlog::log(level, "{}", line);
+}
+
+void start_logging(std::string_view level) {
+    // A slow reader of the log drops the oldest lines instead of holding up the path of a request.
+    auto logger = spdlog::create_async_nb<spdlog::sinks::stderr_sink_mt>("sassafrasdeal");
+    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+    spdlog::set_default_logger(logger);
+    spdlog::set_level(spdlog::level::from_str(std::string{level}));
+    spdlog::flush_every(std::chrono::seconds{1});
+}
+
+void flush_log() {
+    spdlog::default_logger()->flush();
+}
+
+} // namespace base
