Http: Wrap Beast in a server and a client connection

Client connections become unusable after a timeout, so that a late answer cannot reach the next request. The server finishes requests in flight when it drains.

--- /dev/null
+++ b/libraries/backends/events.cpp
@@ -0,0 +1,1 @@
+#include <backends/events.hpp>
--- /dev/null
+++ b/libraries/callers/events.cpp
@@ -0,0 +1,1 @@
+#include <callers/events.hpp>
--- /dev/null
+++ b/libraries/daemons/events.cpp
@@ -0,0 +1,1 @@
+#include <daemons/events.hpp>
--- /dev/null
+++ b/libraries/http/listener.cpp
@@ -0,0 +1,67 @@
+#include <http/listener.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <sys/socket.h>
+
+namespace http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+base::error cannot_listen(const base::endpoint& local, const boost::system::error_code& failure) {
+    return base::error{base::error_kind::settings_invalid,
+                       "cannot listen on " + local.to_string() + ": " + failure.message()};
+}
+
+} // namespace
+
+base::result<listener> listener::open(const asio::any_io_executor& executor, const base::endpoint& local) {
+    boost::system::error_code failure;
+    const auto address = asio::ip::make_address(local.address(), failure);
+    if (failure) {
+        return cannot_listen(local, failure);
+    }
+    const asio::ip::tcp::endpoint target{address, local.port()};
+    asio::ip::tcp::acceptor acceptor{executor};
+    acceptor.open(target.protocol(), failure);
+    if (!failure) {
+        acceptor.set_option(asio::socket_base::reuse_address{true}, failure);
+    }
+    if (!failure) {
+        acceptor.set_option(reuse_port{true}, failure);
+    }
+    if (!failure) {
+        acceptor.bind(target, failure);
+    }
+    if (!failure) {
+        acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    }
+    if (failure) {
+        return cannot_listen(local, failure);
+    }
+    return listener{std::move(acceptor)};
+}
+
+asio::awaitable<base::result<asio::ip::tcp::socket>> listener::accept() {
+    boost::system::error_code failure;
+    auto socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure) {
+        socket.set_option(asio::ip::tcp::no_delay{true}, failure);
+    }
+    if (failure) {
+        co_return base::error{base::error_kind::connection_failed, failure.message()};
+    }
+    co_return std::move(socket);
+}
+
+void listener::close() noexcept {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+} // namespace http
--- /dev/null
+++ b/libraries/http/message.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <base/immutable.hpp>
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace http {
+
+/// One header field. Names compare without regard to case, see `find_header`.
+struct header {
+    std::string name_;
+    std::string value_;
+
+    friend auto operator<=>(const header&, const header&) = default;
+};
+
+/// An HTTP/1.1 request without its framing.
+struct request_fields {
+    std::string method_;
+    std::string target_;
+    std::vector<header> headers_;
+    std::string body_;
+
+    friend auto operator<=>(const request_fields&, const request_fields&) = default;
+    friend bool operator==(const request_fields&, const request_fields&) = default;
+};
+
+/// An HTTP/1.1 response without its framing.
+struct response_fields {
+    unsigned status_ = 200;
+    std::vector<header> headers_;
+    std::string body_;
+
+    friend auto operator<=>(const response_fields&, const response_fields&) = default;
+    friend bool operator==(const response_fields&, const response_fields&) = default;
+};
+
+using request = base::immutable<request_fields>;
+using response = base::immutable<response_fields>;
+
+/// Returns the value of the first header called `name`, in any case.
+[[nodiscard]] std::optional<std::string_view> find_header(const std::vector<header>& headers,
+                                                          std::string_view name) noexcept;
+
+/// Returns a POST of a JSON body, as every JSON interface of the project takes it.
+[[nodiscard]] request json_post(std::string target, std::string body);
+
+/// Returns a response with a JSON body.
+[[nodiscard]] response json_response(unsigned status, std::string body);
+
+} // namespace http
--- /dev/null
+++ b/libraries/operators/events.cpp
@@ -0,0 +1,1 @@
+#include <operators/events.hpp>
--- /dev/null
+++ b/libraries/platform/events.cpp
@@ -0,0 +1,1 @@
+#include <platform/events.hpp>
--- /dev/null
+++ b/libraries/proxy/events.cpp
@@ -0,0 +1,1 @@
+#include <proxy/events.hpp>
--- /dev/null
+++ b/services/sassafrasdeald/main.cpp
@@ -0,0 +1,3 @@
+int main() {
+    return 0;
+}
--- /dev/null
+++ b/tests/http/test_http.cpp
@@ -0,0 +1,118 @@
+#include <http/client_connection.hpp>
+#include <http/server.hpp>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr base::clock::duration time_limit{5'000};
+const base::endpoint local{"127.0.0.1", 39'101};
+
+struct echo_handler {
+    asio::awaitable<http::response> operator()(http::request message, std::size_t /*connection*/) {
+        if (message->target_ == "/slow") {
+            co_await http::sleep_for(base::clock::duration{200});
+        }
+        co_return http::json_response(200, message->body_);
+    }
+};
+
+using echo_server = http::server<echo_handler>;
+
+std::shared_ptr<echo_server> start_echo_server(asio::io_context& context, http::limits bounds) {
+    auto socket = http::listener::open(context.get_executor(), local);
+    EXPECT_TRUE(socket);
+    auto created = std::make_shared<echo_server>(context.get_executor(), std::move(*socket), echo_handler{},
+                                                 bounds, nullptr, 100);
+    created->start();
+    return created;
+}
+
+// Runs a coroutine against an echo server and returns when it is done.
+template <typename Body>
+void run_with_echo_server(http::limits bounds, Body body) {
+    asio::io_context context;
+    auto running = start_echo_server(context, bounds);
+    bool finished = false;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            co_await body(*running);
+            finished = true;
+            running->close();
+        },
+        asio::detached);
+    context.run_for(std::chrono::seconds{20});
+    EXPECT_TRUE(finished);
+}
+
+} // namespace
+
+// Guards against keep-alive connections that mix up or lose answers.
+TEST(http, one_connection_carries_many_exchanges) {
+    run_with_echo_server({}, [](echo_server&) -> asio::awaitable<void> {
+        auto connection = co_await http::client_connection::connect(local, time_limit);
+        EXPECT_TRUE(connection);
+        for (int number = 0; number < 20; ++number) {
+            auto message = http::json_post("/echo", std::to_string(number));
+            auto answer = co_await connection->exchange(message, time_limit);
+            EXPECT_TRUE(answer);
+            EXPECT_EQ((*answer)->body_, std::to_string(number));
+        }
+    });
+}
+
+// Guards against reuse of a connection whose answer is still under way: a late answer must not reach the next
+// caller.
+TEST(http, connection_is_unusable_after_a_timeout) {
+    run_with_echo_server({}, [](echo_server&) -> asio::awaitable<void> {
+        auto connection = co_await http::client_connection::connect(local, time_limit);
+        auto message = http::json_post("/slow", "1");
+        const auto answer = co_await connection->exchange(message, base::clock::duration{20});
+        EXPECT_FALSE(answer);
+        EXPECT_EQ(answer.last_reason().kind(), base::error_kind::timeout);
+        EXPECT_FALSE(connection->is_usable());
+    });
+}
+
+// Guards against unbounded memory for an oversized body; the caller gets a typed error.
+TEST(http, oversized_body_is_refused_with_a_typed_error) {
+    run_with_echo_server({.body_bytes_ = 100}, [](echo_server&) -> asio::awaitable<void> {
+        auto connection = co_await http::client_connection::connect(local, time_limit);
+        auto message = http::json_post("/echo", std::string(101, 'x'));
+        const auto answer = co_await connection->exchange(message, time_limit);
+        EXPECT_TRUE(answer);
+        EXPECT_EQ((*answer)->status_, 413U);
+        EXPECT_NE((*answer)->body_.find("too_large"), std::string::npos);
+    });
+}
+
+// Guards against a drain that cuts off the request in flight.
+TEST(http, drain_finishes_the_request_in_flight) {
+    run_with_echo_server({}, [](echo_server& running) -> asio::awaitable<void> {
+        auto connection = co_await http::client_connection::connect(local, time_limit);
+        asio::co_spawn(
+            co_await asio::this_coro::executor,
+            [&running]() -> asio::awaitable<void> {
+                co_await http::sleep_for(base::clock::duration{50});
+                running.drain();
+            },
+            asio::detached);
+        auto message = http::json_post("/slow", "kept");
+        const auto answer = co_await connection->exchange(message, time_limit);
+        EXPECT_TRUE(answer);
+        EXPECT_EQ((*answer)->body_, "kept");
+        EXPECT_FALSE(connection->is_usable());
+        const auto refused = co_await http::client_connection::connect(local, time_limit);
+        EXPECT_FALSE(refused);
+    });
+}
