--- /dev/null
+++ b/libraries/operators/value_types.cpp
@@ -0,0 +1,2 @@
+#include <operators/configuration.hpp>
+#include <operators/daemon_settings.hpp>
