--- a/libraries/base/request.hpp
+++ b/libraries/base/request.hpp
@@ -12,8 +12,15 @@
 
 namespace base {
 
-/// Whether the statements of a request only read.
-enum class access : std::uint8_t { read, write };
+/// What a request wants of the database group.
+enum class access : std::uint8_t {
+    /// Its statements only read.
+    read,
+    /// Its statements may change data.
+    write,
+    /// It has no statements: it asks what became of its idempotency key, and cancels the key if it never ran.
+    settle,
+};
 
 /// How a request takes part in a session.
 enum class session_state : std::uint8_t {
--- /dev/null
+++ b/libraries/callers/front_end.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <base/answer.hpp>
+#include <base/request.hpp>
+#include <callers/answer_codec.hpp>
+#include <callers/request_codec.hpp>
+#include <callers/session_token.hpp>
+#include <http/message.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <concepts>
+#include <cstddef>
+#include <memory>
+#include <utility>
+
+namespace callers {
+
+/// Answers requests, whatever front end they came through.
+template <typename Service>
+concept request_service = requires(Service& service, base::request request) {
+    { service.answer(std::move(request)) } -> std::same_as<boost::asio::awaitable<base::answer>>;
+};
+
+/// The HTTP front end for callers: decodes, asks the service, encodes. Satisfies `http::request_handler`.
+/// Thread safety: one for each thread.
+template <request_service Service>
+class front_end {
+public:
+    /// Precondition: `service` outlives the front end.
+    front_end(Service& service, std::shared_ptr<const token_signer> signer)
+        : service_{&service}, signer_{std::move(signer)} {}
+
+    /// Answers one HTTP request. `connection` numbers the caller's connection.
+    boost::asio::awaitable<http::response> operator()(http::request message, std::size_t /*connection*/) {
+        if (message->method_ != "POST") {
+            co_return encode_refusal(unknown_path(message));
+        }
+        if (message->target_ == "/v1/request") {
+            auto request = decode_request(message, *signer_);
+            co_return co_await serve(std::move(request));
+        }
+        if (message->target_ == "/v1/outcome") {
+            auto request = decode_outcome_question(message);
+            co_return co_await serve(std::move(request));
+        }
+        co_return encode_refusal(unknown_path(message));
+    }
+
+private:
+    static base::error unknown_path(const http::request& message) {
+        return base::error{base::error_kind::not_found,
+                           "there is no " + message->method_ + " " + message->target_ + " for callers"};
+    }
+
+    boost::asio::awaitable<http::response> serve(base::result<base::request> request) {
+        if (!request) {
+            co_return encode_refusal(request.last_reason());
+        }
+        const auto service = (*request)->service_;
+        auto pending = service_->answer(std::move(*request));
+        const auto answer = co_await std::move(pending);
+        co_return encode_answer(answer, service, *signer_);
+    }
+
+    Service* service_;
+    std::shared_ptr<const token_signer> signer_;
+};
+
+} // namespace callers
--- /dev/null
+++ b/libraries/callers/session_token.cpp
@@ -0,0 +1,93 @@
+#include <callers/session_token.hpp>
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+
+namespace callers {
+
+namespace {
+
+constexpr std::string_view version_prefix = "v1.";
+constexpr std::size_t longest_token_bytes = 512;
+
+base::error forged() {
+    return base::error{base::error_kind::token_invalid, "the session token was not issued by this system"};
+}
+
+std::string to_hexadecimal(const unsigned char* bytes, std::size_t count) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(count * 2);
+    for (std::size_t index = 0; index < count; ++index) {
+        text.push_back(digits[bytes[index] >> 4U]);
+        text.push_back(digits[bytes[index] & 15U]);
+    }
+    return text;
+}
+
+std::optional<std::uint64_t> take_number(std::string_view& text) {
+    std::uint64_t number = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const auto length = static_cast<std::size_t>(end - text.data());
+    if (status != std::errc{} || length >= text.size() || text[length] != '.') {
+        return std::nullopt;
+    }
+    text.remove_prefix(length + 1);
+    return number;
+}
+
+} // namespace
+
+std::string token_signer::encode(const session_token& token) const {
+    std::string text{version_prefix};
+    text += std::to_string(token.position().term());
+    text += '.';
+    text += std::to_string(token.position().index());
+    text += '.';
+    text += token.group();
+    const auto signature = signature_of(text);
+    text += '.';
+    text += signature;
+    return text;
+}
+
+base::result<session_token> token_signer::decode(std::string_view text) const {
+    const auto last_dot = text.rfind('.');
+    if (text.size() > longest_token_bytes || last_dot == std::string_view::npos) {
+        return forged();
+    }
+    const auto content = text.substr(0, last_dot);
+    const auto expected = signature_of(content);
+    const auto given = text.substr(last_dot + 1);
+    // Constant time, so that a forger learns nothing from how long the comparison takes.
+    if (given.size() != expected.size() ||
+        CRYPTO_memcmp(given.data(), expected.data(), expected.size()) != 0) {
+        return forged();
+    }
+    if (!content.starts_with(version_prefix)) {
+        return forged();
+    }
+    auto rest = content.substr(version_prefix.size());
+    const auto term = take_number(rest);
+    const auto index = term ? take_number(rest) : std::nullopt;
+    if (!index) {
+        return forged();
+    }
+    return session_token{std::string{rest}, base::log_position{*term, *index}};
+}
+
+std::string token_signer::signature_of(std::string_view content) const {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int length = 0;
+    HMAC(EVP_sha256(), secret_.data(), static_cast<int>(secret_.size()),
+         reinterpret_cast<const unsigned char*>(content.data()), content.size(), digest.data(), &length);
+    return to_hexadecimal(digest.data(), length);
+}
+
+} // namespace callers
