--- /dev/null
+++ b/libraries/proxy/entry_decision.cpp
@@ -0,0 +1,57 @@
+#include <proxy/entry_decision.hpp>
+
+namespace proxy {
+
+namespace {
+
+bool is_repeatable(const base::request& request) {
+    if (request->step_ != base::transaction_step::none) {
+        return false;
+    }
+    return request->access_ != base::access::write || request->idempotency_key_.has_value();
+}
+
+base::answer lost_transaction_step(const base::request& request) {
+    if (request->step_ == base::transaction_step::commit) {
+        return base::unknown(base::error{base::error_kind::answer_lost,
+                                         "the daemon that held the transaction was lost during its commit"});
+    }
+    return base::not_run(base::error{base::error_kind::transaction_aborted,
+                                     "the daemon that held the transaction was lost; it was rolled back"});
+}
+
+} // namespace
+
+entry_action decide_after_lost_home(const base::request& request, forward_failure failure,
+                                    const base::error& reason, base::clock::duration time_left) {
+    const bool in_transaction =
+        request->step_ != base::transaction_step::none && request->step_ != base::transaction_step::begin;
+    if (failure == forward_failure::not_sent) {
+        if (in_transaction) {
+            return base::not_run(
+                base::error{base::error_kind::transaction_aborted,
+                            "the daemon that holds the transaction cannot be reached: " + reason.message()});
+        }
+        if (time_left > base::clock::duration{0}) {
+            return forward_again{};
+        }
+        return base::not_run(
+            base::error{base::error_kind::peer_unavailable,
+                        "no home of the database group could be reached: " + reason.message()});
+    }
+    if (request->step_ != base::transaction_step::none) {
+        return lost_transaction_step(request);
+    }
+    if (is_repeatable(request) && time_left > base::clock::duration{0}) {
+        return forward_again{};
+    }
+    // A read changes nothing, so a read without an answer counts as not run.
+    if (request->access_ == base::access::read) {
+        return base::not_run(base::error{base::error_kind::deadline_expired,
+                                         "the home did not answer in time: " + reason.message()});
+    }
+    return base::unknown(base::error{base::error_kind::answer_lost,
+                                     "the home was lost before its answer arrived: " + reason.message()});
+}
+
+} // namespace proxy
