--- /dev/null
+++ b/libraries/proxy/attempt.cpp
@@ -0,0 +1,60 @@
+#include <proxy/attempt.hpp>
+
+#include <utility>
+
+namespace proxy {
+
+namespace {
+
+constexpr base::clock::duration pause_without_primary{1'000};
+
+std::string message_of(const attempt& last) {
+    return last->reason_.empty() ? "the database group did not serve the request" : last->reason_;
+}
+
+base::error error_of(const attempt& last, const backends::outcome_decision& decision) {
+    if (last->shed_) {
+        return *last->shed_;
+    }
+    return base::error{decision.error_.value_or(base::error_kind::internal), message_of(last)};
+}
+
+base::clock::duration pause_after(const attempt& last, const base::error& reason) {
+    if (last->shed_) {
+        return last->retry_after_;
+    }
+    const bool passes = reason.kind() == base::error_kind::no_primary ||
+                        reason.kind() == base::error_kind::term_stale ||
+                        reason.kind() == base::error_kind::backend_unavailable ||
+                        reason.kind() == base::error_kind::overloaded;
+    return passes ? pause_without_primary : base::clock::duration{0};
+}
+
+} // namespace
+
+attempt failed_attempt(backends::attempt_end end, std::string reason) {
+    return attempt_fields{.end_ = end, .reason_ = std::move(reason)};
+}
+
+attempt refused_attempt(backends::refusal refusal) {
+    return attempt_fields{.end_ = backends::attempt_end::refused,
+                          .refusal_ = refusal,
+                          .reason_ = "the database refused the request"};
+}
+
+base::answer conclude(const attempt& last, const backends::outcome_decision& decision) {
+    if (decision.next_ == backends::next_step::answer_done) {
+        return base::answer_fields{.outcome_ = base::outcome::done,
+                                   .results_ = last->results_,
+                                   .position_ = last->position_,
+                                   .served_by_ = last->served_by_};
+    }
+    auto reason = error_of(last, decision);
+    if (decision.next_ == backends::next_step::answer_not_run) {
+        const auto pause = pause_after(last, reason);
+        return base::not_run(std::move(reason), pause);
+    }
+    return base::unknown(base::error{base::error_kind::answer_lost, reason.message()});
+}
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/daemon_report_codec.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <proxy/daemon_report.hpp>
+
+#include <string>
+
+namespace proxy {
+
+/// Writes a report as the JSON object that `/status` of the operator port returns. Thread safety: any thread.
+[[nodiscard]] std::string encode_report(const daemon_report& report);
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/group_home.hpp
@@ -0,0 +1,727 @@
+#pragma once
+
+#include <backends/connection_pool.hpp>
+#include <backends/database_connection.hpp>
+#include <backends/group_monitor.hpp>
+#include <backends/outcome_decision.hpp>
+#include <backends/pooled_connections.hpp>
+#include <backends/replica_choice.hpp>
+#include <backends/request_queue.hpp>
+#include <backends/retry_budget.hpp>
+#include <backends/staleness_estimate.hpp>
+#include <base/answer.hpp>
+#include <base/clock.hpp>
+#include <base/event.hpp>
+#include <http/sleep.hpp>
+#include <operators/service_declaration.hpp>
+#include <proxy/admission_lane.hpp>
+#include <proxy/attempt.hpp>
+#include <proxy/daemon_report.hpp>
+#include <proxy/events.hpp>
+#include <proxy/fingerprint.hpp>
+#include <proxy/routing.hpp>
+#include <proxy/transaction_handle.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace proxy {
+
+/// Who runs a home, for takeovers and transaction handles.
+struct home_identity {
+    /// The daemon's name.
+    std::string daemon_;
+    /// Names this run of the daemon; no other run of any daemon may use it.
+    std::string proposer_;
+    std::uint64_t random_seed_ = 0;
+
+    friend auto operator<=>(const home_identity&, const home_identity&) = default;
+};
+
+/// Serves the requests of one database group: queue, connections, gate, retries and transactions.
+///
+/// Each request runs as a coroutine on the owner thread of the group. The decisions are those of `backends`;
+/// this class carries them out. Thread safety: used by the thread of its executor only. Lifetime: held by a
+/// `std::shared_ptr`; its coroutines keep it alive until `stop`. `Clock` outlives it.
+template <backends::request_queue Queue, backends::database_connector Connector, base::time_source Clock,
+          backends::suspicion_check Check>
+class group_home : public std::enable_shared_from_this<group_home<Queue, Connector, Clock, Check>> {
+public:
+    group_home(boost::asio::any_io_executor executor, operators::service_declaration declaration,
+               home_identity identity, Connector connector, const Clock& clock, Check check)
+        : executor_{std::move(executor)}, declaration_{std::move(declaration)}, identity_{std::move(identity)},
+          connector_{std::move(connector)}, clock_{clock}, random_{identity_.random_seed_},
+          monitor_{std::make_shared<monitor>(executor_, monitor_settings(), connector_, clock_, std::move(check))},
+          primary_lane_{std::make_shared<lane>(executor_, declaration_, clock_)},
+          replica_lane_{std::make_shared<lane>(executor_, declaration_, clock_)} {
+        for (const auto& database : declaration_->databases_) {
+            pools_.emplace(database.name_,
+                           std::make_unique<pool>(executor_, opener{connector_, database.address_},
+                                                  backends::connection_pool::limits_of(declaration_), random_()));
+        }
+    }
+
+    /// Starts to watch the group. Precondition: held by a `std::shared_ptr`; called once.
+    void start() {
+        monitor_->start();
+        boost::asio::co_spawn(executor_, keep_lanes(this->shared_from_this()), boost::asio::detached);
+    }
+
+    /// Ends all coroutines and connections. Requests in flight end as not run or unknown.
+    void stop() {
+        stopping_ = true;
+        monitor_->stop();
+        transactions_.clear();
+        for (auto& [name, connections] : pools_) {
+            connections->close();
+        }
+    }
+
+    /// Returns whether no request is in flight and no transaction is open.
+    [[nodiscard]] bool is_idle() const noexcept { return in_flight_ == 0 && transactions_.empty(); }
+
+    [[nodiscard]] const operators::service_declaration& declaration() const noexcept { return declaration_; }
+
+    /// Serves a request to its end. Precondition: `routed` is of this group.
+    [[nodiscard]] boost::asio::awaitable<base::answer> execute(routed_request routed) {
+        const auto self = this->shared_from_this();
+        const in_flight_count counted{in_flight_};
+        const auto deadline = clock_.now() + routed->request_->time_left_;
+        switch (routed->request_->step_) {
+        case base::transaction_step::none:
+            co_return co_await execute_alone(routed, deadline);
+        case base::transaction_step::begin:
+            co_return co_await begin_transaction(routed, deadline);
+        case base::transaction_step::statement:
+        case base::transaction_step::commit:
+        case base::transaction_step::rollback:
+            co_return co_await continue_transaction(routed, deadline);
+        }
+        co_return base::not_run(base::error{base::error_kind::invalid_request, "unknown transaction step"});
+    }
+
+    /// Returns what this home knows, for operators.
+    [[nodiscard]] group_report report() const {
+        group_report described{.group_ = declaration_->name_,
+                               .term_ = monitor_->view().term(),
+                               .open_transactions_ = transactions_.size()};
+        if (const auto primary = monitor_->usable_primary()) {
+            described.primary_ = primary->database_;
+        }
+        if (const auto committed = monitor_->view().committed()) {
+            described.committed_index_ = committed->index();
+        }
+        for (const auto& database : monitor_->view().databases()) {
+            described.databases_.push_back(report_of(database));
+        }
+        add_ranks(described);
+        return described;
+    }
+
+private:
+    using time_point = base::clock::time_point;
+    using duration = base::clock::duration;
+    using connection = typename Connector::connection;
+    using monitor = backends::group_monitor<Connector, Clock, Check>;
+    using lane = admission_lane<Queue, Clock>;
+
+    /// Opens the connections of one database's pool.
+    struct opener {
+        Connector connector_;
+        base::endpoint address_;
+
+        boost::asio::awaitable<base::result<connection>> connect(duration timeout) {
+            return connector_.connect(address_, timeout);
+        }
+    };
+
+    using pool = backends::pooled_connections<connection, opener>;
+    using guard = typename pool::guard;
+
+    /// A statement that a database works on, so that it can be given up when the term changes.
+    struct running_statement {
+        std::string database_;
+        std::uint64_t term_ = 0;
+        connection* connection_ = nullptr;
+    };
+
+    class in_flight_count {
+    public:
+        explicit in_flight_count(std::uint64_t& counter) : counter_{counter} { ++counter_; }
+        ~in_flight_count() { --counter_; }
+        in_flight_count(const in_flight_count&) = delete;
+        in_flight_count& operator=(const in_flight_count&) = delete;
+        in_flight_count(in_flight_count&&) = delete;
+        in_flight_count& operator=(in_flight_count&&) = delete;
+
+    private:
+        std::uint64_t& counter_;
+    };
+
+    class running_registration {
+    public:
+        running_registration(std::list<running_statement>& all, running_statement statement)
+            : all_{all}, place_{all.insert(all.end(), std::move(statement))} {}
+        ~running_registration() { all_.erase(place_); }
+        running_registration(const running_registration&) = delete;
+        running_registration& operator=(const running_registration&) = delete;
+        running_registration(running_registration&&) = delete;
+        running_registration& operator=(running_registration&&) = delete;
+
+    private:
+        std::list<running_statement>& all_;
+        std::list<running_statement>::iterator place_;
+    };
+
+    /// A transaction between two of its requests.
+    struct open_transaction {
+        guard connection_;
+        std::string database_;
+        std::uint64_t term_ = 0;
+        std::string tenant_;
+        time_point used_at_{};
+        bool busy_ = false;
+    };
+
+    [[nodiscard]] backends::group_monitor_settings monitor_settings() {
+        return {.group_ = declaration_->name_,
+                .databases_ = declaration_->databases_,
+                .proposer_ = identity_.proposer_,
+                .random_seed_ = random_()};
+    }
+
+    // --- requests outside transactions
+
+    boost::asio::awaitable<base::answer> execute_alone(routed_request routed, time_point deadline) {
+        const auto& request = routed->request_;
+        auto earlier = backends::earlier_attempts::none_ran;
+        bool settling = request->access_ == base::access::settle;
+        budget_.note_attempt(clock_.now());
+        while (true) {
+            attempt last = settling ? co_await settle_outcome(routed, deadline)
+                                    : co_await attempt_statements(routed, deadline);
+            const auto decision = decide(routed, last, earlier, deadline);
+            earlier = decision.earlier_;
+            if (decision.next_ == backends::next_step::settle) {
+                // A settle that failed is tried again after a pause, as long as there is time.
+                if (settling) {
+                    co_await http::sleep_for(retry_pause(deadline));
+                }
+                settling = true;
+                continue;
+            }
+            if (decision.next_ == backends::next_step::retry) {
+                settling = false;
+                co_await http::sleep_for(retry_pause(deadline));
+                continue;
+            }
+            co_return with_session(conclude(last, decision), request);
+        }
+    }
+
+    backends::outcome_decision decide(const routed_request& routed, const attempt& last,
+                                      backends::earlier_attempts earlier, time_point deadline) {
+        const auto& request = routed->request_;
+        const backends::ended_attempt ended{
+            .end_ = last->end_,
+            .refusal_ = last->refusal_,
+            .access_ = request->access_ == base::access::settle ? base::access::write : request->access_,
+            .step_ = request->step_,
+            .has_key_ = request->idempotency_key_.has_value(),
+            .earlier_ = earlier,
+            // A request that the queue shed is not offered again: load that was refused must stay refused.
+            .retry_ = last->shed_ ? backends::retry_permission::exhausted : backends::retry_permission::allowed,
+            .time_left_ = time_until(deadline)};
+        const auto decision = backends::decide_outcome(ended);
+        const bool costs_budget = decision.next_ == backends::next_step::retry &&
+                                  last->end_ != backends::attempt_end::not_sent;
+        if (!costs_budget || budget_.take_retry(clock_.now())) {
+            return decision;
+        }
+        base::log_event(events::retry_budget_exhausted, {{"group", declaration_->name_}});
+        auto without_retry = ended;
+        without_retry.retry_ = backends::retry_permission::exhausted;
+        return backends::decide_outcome(without_retry);
+    }
+
+    boost::asio::awaitable<attempt> attempt_statements(routed_request routed, time_point deadline) {
+        if (routed->request_->access_ == base::access::read) {
+            const auto choice = co_await choose_target(routed, deadline);
+            if (choice) {
+                co_return co_await read_from_replica(routed, *choice, deadline);
+            }
+        }
+        co_return co_await run_on_primary(routed, deadline);
+    }
+
+    boost::asio::awaitable<attempt> run_on_primary(routed_request routed, time_point deadline) {
+        auto admission = co_await primary_lane_->admit(item_of(routed, deadline));
+        if (!admission.ticket_) {
+            co_return shed_attempt(*admission.refusal_);
+        }
+        const auto primary = co_await monitor_->wait_for_primary(deadline);
+        if (!primary) {
+            co_return failed_attempt(backends::attempt_end::not_sent, primary.last_reason().message());
+        }
+        const auto& request = routed->request_;
+        if (request->session_ == base::session_state::with_token && request->token_.term() > primary->term_) {
+            // The session has written through a newer primary than this home knows of.
+            monitor_->report_refusal();
+            co_return failed_attempt(backends::attempt_end::not_sent, "the home does not know the newest term yet");
+        }
+        auto leased = co_await pools_.at(primary->database_)->acquire(deadline);
+        if (!leased) {
+            monitor_->report_suspicion(primary->database_);
+            co_return failed_attempt(backends::attempt_end::not_sent, leased.last_reason().message());
+        }
+        const auto statements = statements_of(request, primary->term_);
+        auto sent = co_await send(*leased, primary->database_, backends::statement_path::execute, statements,
+                                  deadline);
+        if (sent) {
+            leased->give_back();
+        }
+        leased = base::error{base::error_kind::internal, "given back"};
+        admission.ticket_->release();
+        co_return co_await finish_on_primary(routed, *primary, std::move(sent), deadline);
+    }
+
+    // Takes the answer of a primary through the gate.
+    boost::asio::awaitable<attempt> finish_on_primary(routed_request routed, backends::primary_location primary,
+                                                      base::result<backends::execute_answer> sent,
+                                                      time_point deadline) {
+        if (!sent) {
+            monitor_->report_suspicion(primary.database_);
+            co_return failed_attempt(backends::attempt_end::answer_lost, sent.last_reason().message());
+        }
+        const auto answer = *sent;
+        if (answer->refusal_) {
+            note_refusal(*answer->refusal_);
+            co_return refused_attempt(*answer->refusal_);
+        }
+        monitor_->report_answer(primary.database_, answer->position_);
+        if (needs_confirmation(routed)) {
+            const auto confirmed = co_await monitor_->confirm_term(primary.term_, deadline);
+            if (confirmed != backends::freshness_result::confirmed) {
+                co_return failed_attempt(confirmed == backends::freshness_result::term_changed
+                                             ? backends::attempt_end::term_changed
+                                             : backends::attempt_end::gate_timed_out,
+                                         "no majority confirmed the primary's term");
+            }
+        }
+        co_return co_await pass_gate(answer->position_, answer->results_, base::database_role::primary,
+                                     backends::attempt_end::released, deadline);
+    }
+
+    boost::asio::awaitable<attempt> pass_gate(base::log_position position, std::vector<std::string> results,
+                                              base::database_role served_by, backends::attempt_end on_release,
+                                              time_point deadline) {
+        const auto passed = co_await monitor_->wait_until_committed(position, deadline);
+        if (passed == backends::gate_result::released) {
+            co_return attempt_fields{.end_ = on_release,
+                                     .results_ = std::move(results),
+                                     .position_ = position,
+                                     .served_by_ = served_by};
+        }
+        co_return failed_attempt(passed == backends::gate_result::term_changed
+                                     ? backends::attempt_end::term_changed
+                                     : backends::attempt_end::gate_timed_out,
+                                 "no majority of the group held the answer's position in time");
+    }
+
+    // A read without a token has to see the newest write of its session, and any read has its staleness:
+    // both need a majority that confirmed the term recently enough.
+    [[nodiscard]] bool needs_confirmation(const routed_request& routed) const {
+        const auto& request = routed->request_;
+        if (request->access_ != base::access::read) {
+            return false;
+        }
+        if (request->session_ == base::session_state::without_token) {
+            return true;
+        }
+        return !is_term_confirmed_since(clock_.now() - routed->staleness_);
+    }
+
+    [[nodiscard]] bool is_term_confirmed_since(time_point earliest) const {
+        const auto& view = monitor_->view();
+        const auto confirmed =
+            std::count_if(view.databases().begin(), view.databases().end(), [&](const auto& database) {
+                return database.status_ && (*database.status_)->term_ == view.term() &&
+                       database.asked_at_ > earliest;
+            });
+        return static_cast<std::size_t>(confirmed) >= view.majority();
+    }
+
+    boost::asio::awaitable<attempt> settle_outcome(routed_request routed, time_point deadline) {
+        auto admission = co_await primary_lane_->admit(item_of(routed, deadline));
+        if (!admission.ticket_) {
+            co_return failed_attempt(backends::attempt_end::settle_failed, admission.refusal_->reason_.message());
+        }
+        const auto primary = co_await monitor_->wait_for_primary(deadline);
+        if (!primary) {
+            co_return failed_attempt(backends::attempt_end::settle_failed, primary.last_reason().message());
+        }
+        auto leased = co_await pools_.at(primary->database_)->acquire(deadline);
+        if (!leased) {
+            co_return failed_attempt(backends::attempt_end::settle_failed, leased.last_reason().message());
+        }
+        const auto& request = routed->request_;
+        const backends::settle_request question{backends::settle_request_fields{
+            .term_ = primary->term_, .key_ = recorded_key_of(request), .fingerprint_ = settled_fingerprint(request)}};
+        const running_registration registered{running_, {primary->database_, primary->term_, &**leased}};
+        const auto answer = co_await (*leased)->settle(question, time_until(deadline));
+        if (!answer) {
+            co_return failed_attempt(backends::attempt_end::settle_failed, answer.last_reason().message());
+        }
+        leased->give_back();
+        admission.ticket_->release();
+        const auto settled = *answer;
+        if (settled->refusal_) {
+            note_refusal(*settled->refusal_);
+            if (*settled->refusal_ == backends::refusal::key_conflict) {
+                co_return refused_attempt(*settled->refusal_);
+            }
+            co_return failed_attempt(backends::attempt_end::settle_failed, "the database refused to settle");
+        }
+        const auto end = settled->outcome_ == backends::settled_outcome::done
+                             ? backends::attempt_end::settled_done
+                             : backends::attempt_end::settled_cancelled;
+        attempt passed = co_await pass_gate(settled->position_, settled->results_, base::database_role::primary,
+                                            end, deadline);
+        if (passed->end_ != end) {
+            co_return failed_attempt(backends::attempt_end::settle_failed, passed->reason_);
+        }
+        co_return passed;
+    }
+
+    // The question for an outcome does not know the content, so it matches any.
+    [[nodiscard]] static std::string settled_fingerprint(const base::request& request) {
+        return request->access_ == base::access::settle ? std::string{} : fingerprint_of(request);
+    }
+
+    // --- reads from replicas
+
+    // Returns the replica that should serve the read, or nothing when the primary should.
+    boost::asio::awaitable<std::optional<std::string>> choose_target(routed_request routed, time_point deadline);
+
+    boost::asio::awaitable<attempt> read_from_replica(routed_request routed, std::string database,
+                                                      time_point deadline);
+
+    // --- transactions
+
+    boost::asio::awaitable<base::answer> begin_transaction(routed_request routed, time_point deadline) {
+        auto admission = co_await primary_lane_->admit(item_of(routed, deadline));
+        if (!admission.ticket_) {
+            co_return base::not_run(admission.refusal_->reason_, admission.refusal_->retry_after_);
+        }
+        const auto primary = co_await monitor_->wait_for_primary(deadline);
+        if (!primary) {
+            co_return base::not_run(primary.last_reason());
+        }
+        auto leased = co_await pools_.at(primary->database_)->acquire(deadline, backends::lease_use::transaction);
+        if (!leased) {
+            co_return base::not_run(leased.last_reason());
+        }
+        const auto statements = statements_of(routed->request_, primary->term_);
+        const auto sent = co_await send(*leased, primary->database_, backends::statement_path::begin, statements,
+                                        deadline);
+        if (!sent || (*sent)->refusal_) {
+            if (sent) {
+                note_refusal(*(*sent)->refusal_);
+            }
+            co_return base::not_run(base::error{base::error_kind::transaction_aborted,
+                                                sent ? "the database refused to begin a transaction"
+                                                     : sent.last_reason().message()});
+        }
+        leased->pause();
+        const transaction_handle handle{identity_.daemon_, random_()};
+        transactions_.emplace(handle.number(), open_transaction{.connection_ = std::move(*leased),
+                                                                .database_ = primary->database_,
+                                                                .term_ = primary->term_,
+                                                                .tenant_ = routed->request_->tenant_,
+                                                                .used_at_ = clock_.now()});
+        co_return base::answer{base::answer_fields{.outcome_ = base::outcome::done,
+                                                   .results_ = (*sent)->results_,
+                                                   .served_by_ = base::database_role::primary,
+                                                   .transaction_ = handle.to_string()}};
+    }
+
+    boost::asio::awaitable<base::answer> continue_transaction(routed_request routed, time_point deadline) {
+        const auto& request = routed->request_;
+        const auto handle = transaction_handle::parse(request->transaction_);
+        const auto found = handle ? transactions_.find(handle->number()) : transactions_.end();
+        if (found == transactions_.end() || found->second.tenant_ != request->tenant_) {
+            co_return base::not_run(
+                base::error{base::error_kind::unknown_transaction, "no such transaction is open at its home"});
+        }
+        if (found->second.busy_) {
+            co_return base::not_run(base::error{base::error_kind::invalid_request,
+                                                "the transaction still works on its previous request"});
+        }
+        found->second.busy_ = true;
+        auto admission = co_await primary_lane_->admit(item_of(routed, deadline));
+        const auto open = transactions_.find(handle->number());
+        if (open == transactions_.end()) {
+            co_return base::not_run(
+                base::error{base::error_kind::transaction_aborted, "the transaction was rolled back"});
+        }
+        if (!admission.ticket_) {
+            // The statement did not run, and the transaction is as it was.
+            open->second.busy_ = false;
+            co_return base::not_run(admission.refusal_->reason_, admission.refusal_->retry_after_);
+        }
+        // Taken out of the table while it works: whatever goes wrong below closes its connection.
+        auto taken = std::move(open->second);
+        transactions_.erase(open);
+        if (const auto refused = co_await taken.connection_.resume(deadline)) {
+            co_return base::not_run(base::error{base::error_kind::transaction_aborted, refused->message()});
+        }
+        co_return co_await run_step(routed, handle->number(), std::move(taken), deadline);
+    }
+
+    boost::asio::awaitable<base::answer> run_step(routed_request routed, std::uint64_t number,
+                                                  open_transaction taken, time_point deadline) {
+        const auto& request = routed->request_;
+        const auto statements = statements_of(request, taken.term_);
+        auto sent =
+            co_await send(taken.connection_, taken.database_, path_of(request->step_), statements, deadline);
+        const bool ran = sent && !(*sent)->refusal_;
+        if (request->step_ == base::transaction_step::statement && ran) {
+            taken.connection_.pause();
+            taken.used_at_ = clock_.now();
+            taken.busy_ = false;
+            transactions_.emplace(number, std::move(taken));
+            co_return base::answer{base::answer_fields{.outcome_ = base::outcome::done,
+                                                       .results_ = (*sent)->results_,
+                                                       .served_by_ = base::database_role::primary,
+                                                       .transaction_ = request->transaction_}};
+        }
+        if (request->step_ == base::transaction_step::statement) {
+            co_return base::not_run(base::error{base::error_kind::transaction_aborted,
+                                                sent ? "the database refused a statement of the transaction"
+                                                     : sent.last_reason().message()});
+        }
+        if (sent) {
+            taken.connection_.give_back();
+        }
+        if (request->step_ == base::transaction_step::rollback) {
+            // With or without an answer: the connection is closed or rolled back.
+            co_return base::answer{base::answer_fields{.outcome_ = base::outcome::done}};
+        }
+        const backends::primary_location primary{.database_ = taken.database_, .address_ = {}, .term_ = taken.term_};
+        attempt last = co_await finish_on_primary(routed, primary, std::move(sent), deadline);
+        auto decision = decide(routed, last, backends::earlier_attempts::none_ran, deadline);
+        while (decision.next_ == backends::next_step::settle) {
+            last = co_await settle_outcome(routed, deadline);
+            decision = decide(routed, last, decision.earlier_, deadline);
+            if (decision.next_ == backends::next_step::settle) {
+                co_await http::sleep_for(retry_pause(deadline));
+            }
+        }
+        co_return with_session(conclude(last, decision), request);
+    }
+
+    [[nodiscard]] static backends::statement_path path_of(base::transaction_step step) {
+        switch (step) {
+        case base::transaction_step::begin:
+            return backends::statement_path::begin;
+        case base::transaction_step::statement:
+            return backends::statement_path::statement;
+        case base::transaction_step::commit:
+            return backends::statement_path::commit;
+        case base::transaction_step::rollback:
+            return backends::statement_path::rollback;
+        case base::transaction_step::none:
+            break;
+        }
+        return backends::statement_path::execute;
+    }
+
+    // --- parts
+
+    boost::asio::awaitable<base::result<backends::execute_answer>>
+    send(guard& leased, std::string database, backends::statement_path path, backends::execute_request statements,
+         time_point deadline) {
+        const running_registration registered{running_, {std::move(database), statements->term_, &*leased}};
+        co_return co_await leased->run(path, statements, time_until(deadline));
+    }
+
+    [[nodiscard]] backends::execute_request statements_of(const base::request& request, std::uint64_t term) const {
+        backends::execute_request_fields fields{
+            .term_ = term, .access_ = request->access_, .statements_ = request->statements_};
+        if (request->idempotency_key_) {
+            fields.key_ = recorded_key_of(request);
+            fields.fingerprint_ = fingerprint_of(request);
+        }
+        return fields;
+    }
+
+    [[nodiscard]] backends::queue_item item_of(const routed_request& routed, time_point deadline) const {
+        const auto& request = routed->request_;
+        std::uint64_t bytes = 0;
+        for (const auto& statement : request->statements_) {
+            bytes += statement.size();
+        }
+        return backends::queue_item_fields{
+            .rank_ = request->rank_, .tenant_ = request->tenant_, .bytes_ = bytes, .deadline_ = deadline};
+    }
+
+    [[nodiscard]] static attempt shed_attempt(const typename lane::refusal& refused) {
+        return attempt_fields{.end_ = backends::attempt_end::not_sent,
+                              .shed_ = refused.reason_,
+                              .retry_after_ = refused.retry_after_};
+    }
+
+    // Tells the session where it stands: a write or a read without a token moves it on, other reads do not.
+    [[nodiscard]] static base::answer with_session(const base::answer& answer, const base::request& request) {
+        const bool in_session = request->session_ != base::session_state::none;
+        const bool moves = request->access_ != base::access::read ||
+                           request->session_ == base::session_state::without_token;
+        return answer.with([&](base::answer_fields& fields) {
+            if (!in_session && request->access_ == base::access::read) {
+                fields.position_.reset();
+            } else if (fields.position_ && !moves) {
+                fields.position_ = request->token_;
+            } else if (fields.position_) {
+                fields.position_ = std::max(*fields.position_, request->token_);
+            }
+        });
+    }
+
+    void note_refusal(backends::refusal reason) {
+        if (reason == backends::refusal::term_stale || reason == backends::refusal::not_primary ||
+            reason == backends::refusal::leaving) {
+            monitor_->report_refusal();
+        }
+    }
+
+    [[nodiscard]] duration time_until(time_point deadline) const {
+        return std::max(deadline - clock_.now(), duration{0});
+    }
+
+    // Full jitter, so that requests that failed together do not come back together.
+    [[nodiscard]] duration retry_pause(time_point deadline) {
+        const auto longest = std::min(longest_retry_pause, time_until(deadline) / 4);
+        return duration{1 + static_cast<std::int64_t>(random_() % (static_cast<std::uint64_t>(longest.count()) + 1))};
+    }
+
+    [[nodiscard]] database_report report_of(const backends::known_database& database) const {
+        database_report described{.name_ = database.name_,
+                                  .reachable_ = database.reachability_ == backends::reachability::reachable,
+                                  .leaving_ = database.is_leaving()};
+        if (database.status_) {
+            described.role_ = (*database.status_)->role_;
+            described.term_ = (*database.status_)->term_;
+            described.last_index_ = (*database.status_)->last_.index();
+        }
+        for (const auto& declared : declaration_->databases_) {
+            if (declared.name_ == database.name_) {
+                described.address_ = declared.address_.to_string();
+            }
+        }
+        return described;
+    }
+
+    void add_ranks(group_report& described) const {
+        const auto primary = primary_lane_->load();
+        const auto replica = replica_lane_->load();
+        for (std::size_t index = 0; index < primary->ranks_.size(); ++index) {
+            const auto& one = primary->ranks_[index];
+            const auto& other = replica->ranks_[index];
+            described.ranks_.push_back({.name_ = one.rank_,
+                                        .queued_ = one.queued_ + other.queued_,
+                                        .running_ = one.running_ + other.running_,
+                                        .expected_wait_ = std::max(one.expected_wait_, other.expected_wait_)});
+        }
+    }
+
+    // Opens the lanes while databases can take work, gives up statements of a replaced primary, and closes
+    // transactions that nobody continues.
+    static boost::asio::awaitable<void> keep_lanes(std::shared_ptr<group_home> self) {
+        auto maintained_at = self->clock_.now();
+        while (!self->stopping_) {
+            self->update_lanes();
+            self->give_up_replaced();
+            if (self->clock_.now() - maintained_at >= maintenance_period) {
+                maintained_at = self->clock_.now();
+                self->maintain();
+            }
+            const bool busy = self->in_flight_ > 0;
+            co_await http::sleep_for(busy ? busy_period : idle_period);
+        }
+    }
+
+    void update_lanes() {
+        const auto& view = monitor_->view();
+        const auto primary = monitor_->usable_primary();
+        primary_lane_->set_slots(primary ? declaration_->slots_ : 0);
+        std::uint32_t replicas = 0;
+        for (const auto& database : view.databases()) {
+            const bool is_primary = primary && primary->database_ == database.name_;
+            replicas += !is_primary && database.reachability_ == backends::reachability::reachable ? 1 : 0;
+        }
+        replica_lane_->set_slots(replicas * declaration_->slots_);
+    }
+
+    // A statement that a replaced primary still works on can no longer pass the gate; closing its connection
+    // lets the request go on with the new primary at once.
+    void give_up_replaced() {
+        const auto term = monitor_->view().term();
+        for (auto& statement : running_) {
+            if (statement.term_ < term) {
+                statement.connection_->close();
+            }
+        }
+    }
+
+    void maintain() {
+        for (auto& [name, connections] : pools_) {
+            connections->maintain();
+        }
+        const auto oldest = clock_.now() - transaction_idle_limit;
+        for (auto open = transactions_.begin(); open != transactions_.end();) {
+            const bool abandoned = !open->second.busy_ && open->second.used_at_ < oldest;
+            if (abandoned) {
+                base::log_event(events::transaction_abandoned, {{"group", declaration_->name_}});
+            }
+            open = abandoned ? transactions_.erase(open) : std::next(open);
+        }
+    }
+
+    static constexpr duration longest_retry_pause{100};
+    static constexpr duration busy_period{25};
+    static constexpr duration idle_period{250};
+    static constexpr duration maintenance_period{1'000};
+    static constexpr duration transaction_idle_limit{30'000};
+
+    boost::asio::any_io_executor executor_;
+    operators::service_declaration declaration_;
+    home_identity identity_;
+    Connector connector_;
+    const Clock& clock_;
+    std::mt19937_64 random_;
+    std::shared_ptr<monitor> monitor_;
+    std::shared_ptr<lane> primary_lane_;
+    std::shared_ptr<lane> replica_lane_;
+    std::map<std::string, std::unique_ptr<pool>> pools_;
+    backends::retry_budget budget_;
+    std::map<std::uint64_t, open_transaction> transactions_;
+    std::list<running_statement> running_;
+    std::uint64_t in_flight_ = 0;
+    bool stopping_ = false;
+};
+
+} // namespace proxy
