--- /dev/null
+++ b/libraries/http/wait_signal.cpp
@@ -0,0 +1,50 @@
+#include <http/wait_signal.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace http {
+
+namespace asio = boost::asio;
+
+struct wait_signal::waiter {
+    asio::steady_timer timer_;
+    bool is_notified_ = false;
+};
+
+asio::awaitable<void> wait_signal::wait_for(base::clock::duration limit) {
+    waiter self{asio::steady_timer{co_await asio::this_coro::executor, limit}};
+    waiters_.push_back(&self);
+    boost::system::error_code ignored;
+    co_await self.timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    if (!self.is_notified_) {
+        waiters_.remove(&self);
+    }
+}
+
+asio::awaitable<void> wait_signal::wait() {
+    // The timer's clock cannot hold the largest duration; a caller that wakes up without a change waits
+    // again.
+    constexpr base::clock::duration longest_wait{std::chrono::hours{24}};
+    return wait_for(longest_wait);
+}
+
+void wait_signal::notify_one() {
+    if (waiters_.empty()) {
+        return;
+    }
+    auto* first = waiters_.front();
+    waiters_.pop_front();
+    first->is_notified_ = true;
+    first->timer_.cancel();
+}
+
+void wait_signal::notify_all() {
+    while (!waiters_.empty()) {
+        notify_one();
+    }
+}
+
+} // namespace http
