Backends: Add the pure decisions of the database group protocol

The view of a group, the acknowledgement gate, freshness rounds, takeover with damping, discovery, failure detection and outcomes are values that take a state, an event and the time, so that the tests can run them against a model of a group without sockets. Run: meta/build backends.

--- /dev/null
+++ b/libraries/backends/failure_detector.cpp
@@ -0,0 +1,46 @@
+#include <backends/failure_detector.hpp>
+
+#include <algorithm>
+
+namespace backends {
+
+failure_detector failure_detector::with_answer(base::clock::time_point now) const noexcept {
+    failure_detector changed = *this;
+    changed.heard_at_ = std::max(heard_at_, now);
+    changed.phase_ = detector_phase::answering;
+    return changed;
+}
+
+failure_detector failure_detector::with_suspicion() const noexcept {
+    failure_detector changed = *this;
+    if (phase_ == detector_phase::answering) {
+        changed.phase_ = detector_phase::trying_fresh_connection;
+    }
+    return changed;
+}
+
+failure_detector failure_detector::with_fresh_failure() const noexcept {
+    failure_detector changed = *this;
+    if (phase_ == detector_phase::trying_fresh_connection) {
+        changed.phase_ = detector_phase::asking_other_daemon;
+    }
+    return changed;
+}
+
+failure_detector failure_detector::with_check(suspicion_result found, std::size_t answering,
+                                              std::size_t group_size) const noexcept {
+    failure_detector changed = *this;
+    if (phase_ == detector_phase::asking_other_daemon) {
+        const bool reaches_majority = answering > group_size / 2;
+        changed.phase_ = found != suspicion_result::reached && reaches_majority
+                             ? detector_phase::failed
+                             : detector_phase::trying_fresh_connection;
+    }
+    return changed;
+}
+
+failure_detector failure_detector::after(base::clock::time_point now) const noexcept {
+    return now >= heard_at_ + silence_limit ? with_suspicion() : *this;
+}
+
+} // namespace backends
--- /dev/null
+++ b/libraries/backends/failure_detector.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <base/clock.hpp>
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+
+namespace backends {
+
+/// What a daemon in another failure domain found out about a database.
+enum class suspicion_result : std::uint8_t {
+    reached,
+    not_reached,
+    /// No daemon in another failure domain is alive.
+    no_daemon,
+};
+
+enum class detector_phase : std::uint8_t { answering, trying_fresh_connection, asking_other_daemon, failed };
+
+/// Watches one database: silence, then a fresh connection, then the word of a daemon in another failure
+/// domain. One silent connection or one cut link between two hosts does not make a database failed.
+/// Thread safety: immutable value.
+class failure_detector {
+public:
+    explicit failure_detector(base::clock::time_point now) : heard_at_{now} {}
+
+    /// Takes an answer of the database on any connection.
+    [[nodiscard]] failure_detector with_answer(base::clock::time_point now) const noexcept;
+
+    /// Takes that a connection broke or a statement got no answer: a fresh connection is tried without
+    /// waiting for the silence to last.
+    [[nodiscard]] failure_detector with_suspicion() const noexcept;
+
+    /// Takes that a fresh connection brought no answer in time.
+    [[nodiscard]] failure_detector with_fresh_failure() const noexcept;
+
+    /// Takes the word of the other daemon, or that there is none. `answering` of `group_size` databases
+    /// answer this daemon: without a majority of them it deposes nobody, because it may itself be cut off.
+    [[nodiscard]] failure_detector with_check(suspicion_result found, std::size_t answering,
+                                              std::size_t group_size) const noexcept;
+
+    /// Takes the passage of time.
+    [[nodiscard]] failure_detector after(base::clock::time_point now) const noexcept;
+
+    [[nodiscard]] detector_phase phase() const noexcept { return phase_; }
+    [[nodiscard]] base::clock::time_point heard_at() const noexcept { return heard_at_; }
+
+    friend auto operator<=>(const failure_detector&, const failure_detector&) = default;
+
+private:
+    base::clock::time_point heard_at_;
+    detector_phase phase_ = detector_phase::answering;
+};
+
+/// Figures of the design page, section 4, "Failure detection": 1.75 s in the worst case.
+inline constexpr base::clock::duration poll_period{250};
+inline constexpr base::clock::duration silence_limit{750};
+inline constexpr base::clock::duration fresh_connection_time{500};
+inline constexpr base::clock::duration suspicion_check_time{500};
+
+} // namespace backends
--- /dev/null
+++ b/libraries/backends/takeover_damping.cpp
@@ -0,0 +1,25 @@
+#include <backends/takeover_damping.hpp>
+
+#include <algorithm>
+
+namespace backends {
+
+takeover_damping takeover_damping::with_start(base::clock::time_point now) const noexcept {
+    takeover_damping changed = *this;
+    changed.last_start_ = now;
+    return changed;
+}
+
+takeover_damping takeover_damping::with_success() const noexcept {
+    takeover_damping changed = *this;
+    changed.interval_ = least_interval;
+    return changed;
+}
+
+takeover_damping takeover_damping::with_failure() const noexcept {
+    takeover_damping changed = *this;
+    changed.interval_ = std::min(interval_ * 2, greatest_interval);
+    return changed;
+}
+
+} // namespace backends
