--- a/libraries/backends/acknowledgement_gate.cpp
+++ b/libraries/backends/acknowledgement_gate.cpp
@@ -1,7 +1,5 @@
 #include <backends/acknowledgement_gate.hpp>
 
-#include <optional>
-
 namespace backends {
 
 namespace {
@@ -34,6 +32,18 @@
     return changed;
 }
 
+std::optional<base::log_position>
+acknowledgement_gate::least_waiting(std::uint64_t term, base::log_position held) const noexcept {
+    std::optional<base::log_position> least;
+    for (const auto& answer : waiting_) {
+        const bool is_beyond = answer.position_.term() == term && answer.position_ > held;
+        if (is_beyond && (!least || answer.position_ < *least)) {
+            least = answer.position_;
+        }
+    }
+    return least;
+}
+
 acknowledgement_gate::step acknowledgement_gate::after(const group_view& view,
                                                        base::clock::time_point now) const {
     step next;
--- a/libraries/backends/acknowledgement_gate.hpp
+++ b/libraries/backends/acknowledgement_gate.hpp
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace backends {
@@ -54,6 +55,10 @@
     /// Decides which answers leave the gate, given what is known of the group at `now`.
     [[nodiscard]] step after(const group_view& view, base::clock::time_point now) const;
 
+    /// Returns the least position of `term` beyond `held` that an answer waits for; empty when there is none.
+    [[nodiscard]] std::optional<base::log_position> least_waiting(std::uint64_t term,
+                                                                  base::log_position held) const noexcept;
+
     [[nodiscard]] bool is_empty() const noexcept { return waiting_.empty(); }
     [[nodiscard]] std::size_t size() const noexcept { return waiting_.size(); }
 
--- a/libraries/backends/group_view.cpp
+++ b/libraries/backends/group_view.cpp
@@ -47,6 +47,17 @@
     return changed;
 }
 
+group_view group_view::with_entry(std::string_view database, base::log_position position) const {
+    group_view changed = *this;
+    auto* known = find_in(changed.databases_, database);
+    if (known != nullptr && known->status_ && (*known->status_)->term_ == position.term()) {
+        known->status_ = known->status_->with(
+            [position](database_status_fields& fields) { fields.last_ = std::max(fields.last_, position); });
+        changed.advance_committed();
+    }
+    return changed;
+}
+
 group_view group_view::with_reachability(std::string_view database, reachability found) const {
     group_view changed = *this;
     if (auto* known = find_in(changed.databases_, database); known != nullptr) {
@@ -87,10 +98,10 @@
     return find_in(databases_, database);
 }
 
-std::size_t group_view::reachable_databases() const noexcept {
+std::size_t group_view::answering_since(base::clock::time_point since) const noexcept {
     return static_cast<std::size_t>(
-        std::count_if(databases_.begin(), databases_.end(), [](const auto& database) {
-            return database.reachability_ == reachability::reachable;
+        std::count_if(databases_.begin(), databases_.end(), [since](const auto& database) {
+            return database.status_ && database.heard_at_ >= since;
         }));
 }
 
--- a/libraries/backends/group_view.hpp
+++ b/libraries/backends/group_view.hpp
@@ -46,6 +46,10 @@
     [[nodiscard]] group_view with_status(const database_status& status, base::clock::time_point asked_at,
                                          base::clock::time_point heard_at) const;
 
+    /// Returns the view after a primary has answered a statement at `position`, which proves that it holds
+    /// it. Changes nothing unless the database is known to be of that term.
+    [[nodiscard]] group_view with_entry(std::string_view database, base::log_position position) const;
+
     /// Returns the view after this daemon found out whether it can reach a database.
     [[nodiscard]] group_view with_reachability(std::string_view database, reachability found) const;
 
@@ -75,8 +79,8 @@
     /// Returns how many databases are more than half of the group.
     [[nodiscard]] std::size_t majority() const noexcept { return databases_.size() / 2 + 1; }
 
-    /// Returns how many databases answer this daemon.
-    [[nodiscard]] std::size_t reachable_databases() const noexcept;
+    /// Returns how many databases have answered this daemon at or after `since`.
+    [[nodiscard]] std::size_t answering_since(base::clock::time_point since) const noexcept;
 
     friend auto operator<=>(const group_view&, const group_view&) = default;
 
--- a/libraries/backends/takeover.cpp
+++ b/libraries/backends/takeover.cpp
@@ -64,20 +64,18 @@
     };
     const bool answered = std::any_of(grants_.begin(), grants_.end(), has_granted) ||
                           std::find(refusals_.begin(), refusals_.end(), database) != refusals_.end();
-    // The raise still goes to the others while one is promoted: until they have granted the term they could
-    // hold entries back from its primary.
+    // Databases that have not granted the term by the time of the promotion learn it from its primary.
     if (phase_ == takeover_phase::raising && !answered) {
         return takeover_request{.step_ = takeover_step::raise, .term_ = term_, .proposer_ = proposer_};
     }
     return std::nullopt;
 }
 
-takeover takeover::with_grant(std::string_view database, std::uint64_t term, base::log_position last,
-                              base::clock::time_point now) const {
+takeover takeover::with_grant(std::string_view database, std::uint64_t term, base::log_position last) const {
     takeover changed = *this;
     const auto known = std::any_of(grants_.begin(), grants_.end(),
                                    [&](const grant& granted) { return granted.database_ == database; });
-    if (phase_ == takeover_phase::raising && term == term_ && !known && now >= not_before_) {
+    if (phase_ == takeover_phase::raising && term == term_ && !known) {
         changed.grants_.push_back({.database_ = std::string{database}, .last_ = last});
     }
     return changed;
