Operators: Read settings and declarations with all problems at once

Settings and declarations are described by one table of sections and keys, which reads, checks and documents them.

Run: meta/build operators.

--- /dev/null
+++ b/libraries/operators/file_format.cpp
@@ -0,0 +1,171 @@
+#include <operators/file_format.hpp>
+
+#include <array>
+
+namespace operators {
+
+namespace {
+
+constexpr std::uint64_t most_path_bytes = 4096;
+constexpr std::uint64_t day_ms = 24ULL * 60 * 60 * 1000;
+constexpr std::uint64_t hour_ms = 60ULL * 60 * 1000;
+constexpr std::uint64_t mebibyte = 1024ULL * 1024;
+
+constexpr std::array daemon_keys{
+    key_description{"name", value_type::name, necessity::required, "", 1, most_name_bytes,
+                    "Name of the daemon, unique in the fleet."},
+    key_description{"region", value_type::name, necessity::required, "", 1, most_name_bytes,
+                    "Region of the host."},
+    key_description{"failure_domain", value_type::name, necessity::required, "", 1, most_name_bytes,
+                    "Failure domain of the host; homes and standbys are spread over failure domains."},
+    key_description{"token_key", value_type::secret, necessity::required, "", 16, 1024,
+                    "Secret shared by the fleet that signs session tokens."},
+    key_description{"threads", value_type::number, necessity::optional, "2", 1, 256,
+                    "Threads that serve requests."},
+    key_description{"drain_deadline_ms", value_type::milliseconds, necessity::optional, "10000", 0, hour_ms,
+                    "Time that requests in flight have to finish when the daemon is stopped."},
+    key_description{"log_level", value_type::log_level, necessity::optional, "info", 0, 0,
+                    "Least severity that is logged."},
+};
+
+constexpr std::array caller_keys{
+    key_description{"address", value_type::address, necessity::required, "", 0, 0,
+                    "Where callers connect (HTTP)."},
+    key_description{"most_connections", value_type::number, necessity::optional, "10000", 1, 1'000'000,
+                    "Caller connections that are open at the same time."},
+    key_description{"body_bytes", value_type::bytes, necessity::optional, "1048576", 1024, 64 * mebibyte,
+                    "Largest body of a request."},
+    key_description{"header_bytes", value_type::bytes, necessity::optional, "16384", 1024, mebibyte,
+                    "Largest header section of a request."},
+    key_description{"tls_certificate", value_type::text, necessity::optional, "", 0, most_path_bytes,
+                    "PEM file with the certificate chain; empty for plain TCP."},
+    key_description{"tls_key", value_type::text, necessity::optional, "", 0, most_path_bytes,
+                    "PEM file with the private key; set exactly when tls_certificate is set."},
+};
+
+constexpr std::array operator_keys{
+    key_description{"address", value_type::address, necessity::required, "", 0, 0,
+                    "Where operators connect (HTTP)."},
+};
+
+constexpr std::array peer_keys{
+    key_description{"address", value_type::address, necessity::required, "", 0, 0,
+                    "Where other daemons connect; TCP and UDP on the same port."},
+    key_description{"seeds", value_type::address_list, necessity::optional, "", 0, 64,
+                    "Peer addresses of some other daemons, from which the rest is learned."},
+};
+
+constexpr std::array platform_keys{
+    key_description{"address", value_type::address, necessity::required, "", 0, 0,
+                    "Where the platform's store and host list answer (HTTP)."},
+};
+
+constexpr std::array settings_sections{
+    section_description{"daemon", section_form::single, necessity::required, value_type::name, daemon_keys,
+                        "The daemon itself."},
+    section_description{"callers", section_form::single, necessity::required, value_type::name, caller_keys,
+                        "How callers reach the daemon."},
+    section_description{"operators", section_form::single, necessity::required, value_type::name,
+                        operator_keys, "How operators reach the daemon."},
+    section_description{"peers", section_form::single, necessity::required, value_type::name, peer_keys,
+                        "How other daemons reach the daemon."},
+    section_description{"platform", section_form::single, necessity::required, value_type::name,
+                        platform_keys, "How the daemon reaches the platform."},
+};
+
+constexpr std::array service_keys{
+    key_description{"name", value_type::name, necessity::required, "", 1, most_name_bytes,
+                    "Name of the service and of its database group, unique in the configuration."},
+    key_description{"region", value_type::name, necessity::required, "", 1, most_name_bytes,
+                    "Region in which the group's primary should be."},
+    key_description{"slots", value_type::number, necessity::optional, "2", 1, 10'000,
+                    "Statements that one database runs at the same time."},
+    key_description{"connections", value_type::number, necessity::optional, "16", 1, 100'000,
+                    "Connections that one database accepts from the whole system; not fewer than slots."},
+    key_description{"queue_items", value_type::number, necessity::optional, "10000", 1, 1'000'000,
+                    "Requests that may wait at the home, over all ranks."},
+    key_description{"queue_bytes", value_type::bytes, necessity::optional, "16777216", 1024, 1024 * mebibyte,
+                    "Bytes of statements that may wait at the home, over all ranks."},
+};
+
+constexpr std::array database_keys{
+    key_description{"address", value_type::address, necessity::required, "", 0, 0,
+                    "Where the database answers; unique in the configuration."},
+    key_description{"failure_domain", value_type::name, necessity::required, "", 1, most_name_bytes,
+                    "Failure domain of the database's host."},
+};
+
+constexpr std::array rank_keys{
+    key_description{"least_share_percent", value_type::percent, necessity::optional, "0", 0, 100,
+                    "Share of the slots that the rank keeps during a flood of any other rank; the shares of "
+                    "all ranks add up to 100 at most."},
+    key_description{"weight", value_type::number, necessity::optional, "1", 1, 1000,
+                    "Part of the slots that no least share claims, relative to the other ranks' weights."},
+    key_description{"deadline_ms", value_type::milliseconds, necessity::optional, "2000", 1, hour_ms,
+                    "Deadline of a request that names none."},
+};
+
+constexpr std::array read_class_keys{
+    key_description{"staleness_ms", value_type::milliseconds, necessity::optional, "0", 0, day_ms,
+                    "How old the data may be; 0 means that only fresh data will do."},
+};
+
+constexpr std::array tenant_keys{
+    key_description{"most_in_flight", value_type::number, necessity::optional, "1000", 1, 1'000'000,
+                    "Requests of the tenant that may be queued or running at the home at the same time."},
+};
+
+constexpr std::array declaration_sections{
+    section_description{"service", section_form::single, necessity::required, value_type::name, service_keys,
+                        "The service and its group."},
+    section_description{"database", section_form::named, necessity::required, value_type::name, database_keys,
+                        "One database of the group; three or more."},
+    section_description{"rank", section_form::named, necessity::required, value_type::name, rank_keys,
+                        "One rank of work; the file lists them from most to least urgent."},
+    section_description{"read_class", section_form::named, necessity::required, value_type::name,
+                        read_class_keys,
+                        "One class of reads; the first one applies when a request names none."},
+    section_description{"tenant", section_form::named, necessity::optional, value_type::text, tenant_keys,
+                        "The limit of one tenant; `default` stands for every tenant without its own."},
+};
+
+constexpr file_format settings_format{settings_sections};
+constexpr file_format declaration_format{declaration_sections};
+
+} // namespace
+
+const file_format& daemon_settings_format() noexcept {
+    return settings_format;
+}
+
+const file_format& service_declaration_format() noexcept {
+    return declaration_format;
+}
+
+std::string_view name_of(value_type type) noexcept {
+    switch (type) {
+    case value_type::name:
+        return "name";
+    case value_type::text:
+        return "text";
+    case value_type::secret:
+        return "secret";
+    case value_type::number:
+        return "number";
+    case value_type::milliseconds:
+        return "milliseconds";
+    case value_type::bytes:
+        return "bytes";
+    case value_type::percent:
+        return "percent";
+    case value_type::address:
+        return "address:port";
+    case value_type::address_list:
+        return "list of address:port";
+    case value_type::log_level:
+        return "log level";
+    }
+    return "text";
+}
+
+} // namespace operators
