--- /dev/null
+++ b/libraries/operators/declaration_folder.cpp
@@ -0,0 +1,107 @@
+#include <operators/declaration_folder.hpp>
+
+#include <operators/declaration_reader.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <map>
+#include <system_error>
+#include <utility>
+
+namespace operators {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+struct folder_listing {
+    /// Sorted, so that problems come in the same order on every host.
+    std::vector<std::string> files_;
+    std::vector<problem> problems_;
+};
+
+folder_listing list_declarations(const std::string& directory) {
+    folder_listing listing;
+    std::error_code failure;
+    fs::recursive_directory_iterator position{directory, failure};
+    while (!failure && position != fs::recursive_directory_iterator{}) {
+        const auto path = position->path().string();
+        if (path.ends_with(declaration_file_ending)) {
+            listing.files_.push_back(path);
+        }
+        position.increment(failure);
+    }
+    if (failure) {
+        listing.problems_.push_back({directory, "", "", "the directory cannot be read: " + failure.message(),
+                                     "check the path and the rights"});
+    } else if (listing.files_.empty()) {
+        listing.problems_.push_back({directory, "", "", "no file ends in .service.ini",
+                                     "name the directory that holds the declarations"});
+    }
+    std::sort(listing.files_.begin(), listing.files_.end());
+    return listing;
+}
+
+void check_services(const std::vector<declared_service>& services, std::vector<problem>& problems) {
+    std::map<std::string, std::string> file_of_service;
+    std::map<base::endpoint, const declared_service*> service_of_address;
+    for (const auto& service : services) {
+        const auto& declaration = service.declaration_;
+        const auto [same, is_new] = file_of_service.emplace(declaration->name_, service.file_);
+        if (!is_new) {
+            problems.push_back(
+                {service.file_, "service", "name",
+                 "the service " + declaration->name_ + " is declared in " + same->second + " too",
+                 "remove one of the two files or rename the service"});
+            continue;
+        }
+        for (const auto& database : declaration->databases_) {
+            const auto [taken, is_free] = service_of_address.emplace(database.address_, &service);
+            if (!is_free && taken->second != &service) {
+                problems.push_back({service.file_, "database " + database.name_, "address",
+                                    database.address_.to_string() + " belongs to the service " +
+                                        taken->second->declaration_->name_ + " in " + taken->second->file_ +
+                                        " too",
+                                    "give each database its own address"});
+            }
+        }
+    }
+}
+
+} // namespace
+
+checked<configuration> combine_declarations(std::vector<declared_service> services) {
+    std::vector<problem> problems;
+    check_services(services, problems);
+    if (!problems.empty()) {
+        return {std::nullopt, std::move(problems)};
+    }
+    configuration_fields fields;
+    for (auto& service : services) {
+        fields.services_.push_back(std::move(service.declaration_));
+    }
+    std::sort(fields.services_.begin(), fields.services_.end(),
+              [](const auto& one, const auto& other) { return one->name_ < other->name_; });
+    return {configuration{std::move(fields)}, {}};
+}
+
+checked<configuration> collect_declarations(const std::string& directory) {
+    auto listing = list_declarations(directory);
+    std::vector<declared_service> services;
+    for (const auto& file : listing.files_) {
+        auto declaration = load_declaration(file);
+        listing.problems_.insert(listing.problems_.end(), declaration.problems_.begin(),
+                                 declaration.problems_.end());
+        if (declaration.value_) {
+            services.push_back({file, std::move(*declaration.value_)});
+        }
+    }
+    auto combined = combine_declarations(std::move(services));
+    combined.problems_.insert(combined.problems_.begin(), listing.problems_.begin(), listing.problems_.end());
+    if (!combined.problems_.empty()) {
+        combined.value_.reset();
+    }
+    return combined;
+}
+
+} // namespace operators
