--- a/libraries/operators/declaration_folder.cpp
+++ b/libraries/operators/declaration_folder.cpp
@@ -85,19 +85,24 @@
     return {configuration{std::move(fields)}, {}};
 }
 
-checked<configuration> collect_declarations(const std::string& directory) {
+loaded_declarations load_declarations(const std::string& directory) {
     auto listing = list_declarations(directory);
-    std::vector<declared_service> services;
+    loaded_declarations loaded{{}, std::move(listing.problems_)};
     for (const auto& file : listing.files_) {
         auto declaration = load_declaration(file);
-        listing.problems_.insert(listing.problems_.end(), declaration.problems_.begin(),
-                                 declaration.problems_.end());
+        loaded.problems_.insert(loaded.problems_.end(), declaration.problems_.begin(),
+                                declaration.problems_.end());
         if (declaration.value_) {
-            services.push_back({file, std::move(*declaration.value_)});
+            loaded.services_.push_back({file, std::move(*declaration.value_)});
         }
     }
-    auto combined = combine_declarations(std::move(services));
-    combined.problems_.insert(combined.problems_.begin(), listing.problems_.begin(), listing.problems_.end());
+    return loaded;
+}
+
+checked<configuration> collect_declarations(const std::string& directory) {
+    auto loaded = load_declarations(directory);
+    auto combined = combine_declarations(std::move(loaded.services_));
+    combined.problems_.insert(combined.problems_.begin(), loaded.problems_.begin(), loaded.problems_.end());
     if (!combined.problems_.empty()) {
         combined.value_.reset();
     }
