--- a/libraries/proxy/group_home.hpp
+++ b/libraries/proxy/group_home.hpp
@@ -29,6 +29,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -260,9 +261,9 @@
 
     boost::asio::awaitable<attempt> attempt_statements(routed_request routed, time_point deadline) {
         if (routed->request_->access_ == base::access::read) {
-            const auto choice = co_await choose_target(routed, deadline);
-            if (choice) {
-                co_return co_await read_from_replica(routed, *choice, deadline);
+            const auto replica = co_await choose_target(routed, deadline);
+            if (replica) {
+                co_return co_await read_from_replica(routed, deadline);
             }
         }
         co_return co_await run_on_primary(routed, deadline);
@@ -414,11 +415,108 @@
 
     // --- reads from replicas
 
-    // Returns the replica that should serve the read, or nothing when the primary should.
-    boost::asio::awaitable<std::optional<std::string>> choose_target(routed_request routed, time_point deadline);
+    // Returns what a read needs of a replica, or nothing when only the primary will do.
+    [[nodiscard]] std::optional<backends::replica_need> replica_need_of(const routed_request& routed) const {
+        const auto& request = routed->request_;
+        if (request->session_ == base::session_state::without_token || routed->staleness_ == duration{0}) {
+            return std::nullopt;
+        }
+        return backends::replica_need_fields{.term_ = monitor_->view().term(),
+                                             .minimum_ = request->token_,
+                                             .staleness_ = routed->staleness_};
+    }
 
-    boost::asio::awaitable<attempt> read_from_replica(routed_request routed, std::string database,
-                                                      time_point deadline);
+    // Chooses a database for a read as things stand now.
+    [[nodiscard]] backends::replica_choice choose_now(const backends::replica_need& need) {
+        const auto primary = monitor_->view().primary();
+        std::vector<backends::replica_candidate> candidates;
+        for (const auto& database : monitor_->view().databases()) {
+            if (database.status_ && primary != database.name_) {
+                candidates.push_back(candidate_of(database));
+            }
+        }
+        return backends::choose_replica(candidates, need, clock_.now(), random_());
+    }
+
+    [[nodiscard]] backends::replica_candidate candidate_of(const backends::known_database& database) const {
+        const auto now = clock_.now();
+        const auto last = (*database.status_)->last_;
+        return backends::replica_candidate_fields{
+            .name_ = database.name_,
+            .last_ = last,
+            .lag_ = staleness_.oldest_age(last, now),
+            .measured_at_ = now,
+            .in_use_ = statements_on(database.name_),
+            .slots_ = declaration_->slots_,
+            .is_reachable_ = database.reachability_ == backends::reachability::reachable,
+            .is_leaving_ = database.is_leaving()};
+    }
+
+    [[nodiscard]] std::uint32_t statements_on(const std::string& database) const {
+        return static_cast<std::uint32_t>(
+            std::count_if(running_.begin(), running_.end(),
+                          [&database](const auto& statement) { return statement.database_ == database; }));
+    }
+
+    // Returns the replica that should serve the read, or nothing when the primary should. Holds no slot while
+    // it waits for a replica to catch up.
+    boost::asio::awaitable<std::optional<std::string>> choose_target(routed_request routed, time_point deadline) {
+        const auto wait_until = std::min(deadline, clock_.now() + longest_replica_wait);
+        while (!stopping_) {
+            const auto need = replica_need_of(routed);
+            if (!need) {
+                co_return std::nullopt;
+            }
+            const auto timed = need->with([&](auto& fields) { fields.wait_left_ = time_until(wait_until); });
+            const auto choice = choose_now(timed);
+            if (choice->target_ == backends::read_target::replica) {
+                co_return choice->name_;
+            }
+            if (choice->target_ == backends::read_target::primary) {
+                co_return std::nullopt;
+            }
+            co_await http::sleep_for(std::min(choice->wait_, replica_wait_step));
+        }
+        co_return std::nullopt;
+    }
+
+    // Runs a read on a replica, or on the primary when no replica will do once the read has its slot.
+    boost::asio::awaitable<attempt> read_from_replica(routed_request routed, time_point deadline) {
+        auto admission = co_await replica_lane_->admit(item_of(routed, deadline));
+        if (!admission.ticket_) {
+            co_return shed_attempt(*admission.refusal_);
+        }
+        const auto need = replica_need_of(routed);
+        const auto choice = choose_now(*need);
+        if (choice->target_ != backends::read_target::replica) {
+            admission.ticket_->release();
+            co_return co_await run_on_primary(routed, deadline);
+        }
+        const auto database = choice->name_;
+        // The position known at the choice, on which the staleness was judged, must still be there.
+        const auto minimum = (*monitor_->view().find(database)->status_)->last_;
+        auto leased = co_await pools_.at(database)->acquire(deadline);
+        if (!leased) {
+            monitor_->report_suspicion(database);
+            co_return failed_attempt(backends::attempt_end::not_sent, leased.last_reason().message());
+        }
+        const auto statements = statements_of(routed->request_, (*need)->term_).with([&](auto& fields) {
+            fields.minimum_ = minimum;
+        });
+        const auto sent = co_await send(*leased, database, backends::statement_path::execute, statements, deadline);
+        if (!sent) {
+            monitor_->report_suspicion(database);
+            co_return failed_attempt(backends::attempt_end::answer_lost, sent.last_reason().message());
+        }
+        leased->give_back();
+        admission.ticket_->release();
+        if ((*sent)->refusal_) {
+            note_refusal(*(*sent)->refusal_);
+            co_return refused_attempt(*(*sent)->refusal_);
+        }
+        co_return co_await pass_gate((*sent)->position_, (*sent)->results_, base::database_role::replica,
+                                     backends::attempt_end::released, deadline);
+    }
 
     // --- transactions
 
@@ -654,6 +752,7 @@
         auto maintained_at = self->clock_.now();
         while (!self->stopping_) {
             self->update_lanes();
+            self->note_primary_position();
             self->give_up_replaced();
             if (self->clock_.now() - maintained_at >= maintenance_period) {
                 maintained_at = self->clock_.now();
@@ -676,6 +775,29 @@
         replica_lane_->set_slots(replicas * declaration_->slots_);
     }
 
+    // Keeps the history by which the age of a replica's data is judged. The time is the latest at which both the
+    // primary was asked for its position and a majority was asked to confirm the term.
+    void note_primary_position() {
+        const auto& view = monitor_->view();
+        const auto primary = view.primary();
+        if (!primary) {
+            return;
+        }
+        std::vector<time_point> confirmed;
+        for (const auto& database : view.databases()) {
+            if (database.status_ && (*database.status_)->term_ == view.term()) {
+                confirmed.push_back(database.asked_at_);
+            }
+        }
+        if (confirmed.size() < view.majority()) {
+            return;
+        }
+        std::sort(confirmed.begin(), confirmed.end(), std::greater<>{});
+        const auto* known = view.find(*primary);
+        staleness_.note_primary((*known->status_)->last_,
+                                std::min(known->asked_at_, confirmed[view.majority() - 1]));
+    }
+
     // A statement that a replaced primary still works on can no longer pass the gate; closing its connection
     // lets the request go on with the new primary at once.
     void give_up_replaced() {
@@ -702,6 +824,9 @@
     }
 
     static constexpr duration longest_retry_pause{100};
+    /// A read that would wait longer for a replica goes to the primary.
+    static constexpr duration longest_replica_wait{50};
+    static constexpr duration replica_wait_step{5};
     static constexpr duration busy_period{25};
     static constexpr duration idle_period{250};
     static constexpr duration maintenance_period{1'000};
@@ -718,6 +843,7 @@
     std::shared_ptr<lane> replica_lane_;
     std::map<std::string, std::unique_ptr<pool>> pools_;
     backends::retry_budget budget_;
+    backends::staleness_estimate staleness_;
     std::map<std::uint64_t, open_transaction> transactions_;
     std::list<running_statement> running_;
     std::uint64_t in_flight_ = 0;
