--- /dev/null
+++ b/tests/backends/admission_queue_test.cpp
@@ -0,0 +1,224 @@
+#include "tests/backends/admission_queue_simulation.hpp"
+
+#include <backends/admission_queue.hpp>
+#include <backends/first_come_first_served_queue.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+namespace {
+
+using backends::admission_queue;
+using base::clock;
+
+clock::time_point at(std::int64_t ms) {
+    return clock::time_point{clock::duration{ms}};
+}
+
+backends::queue_item item(std::uint64_t id, std::string rank, std::string tenant = "a",
+                          std::int64_t deadline_ms = 10'000, std::uint64_t bytes = 10) {
+    return backends::queue_item_fields{id, std::move(rank), std::move(tenant), bytes, at(deadline_ms)};
+}
+
+std::vector<simulation::burst> any_bursts() {
+    return *rc::gen::container<std::vector<simulation::burst>>(rc::gen::exec([] {
+        const auto begin = *rc::gen::inRange(0, 1'500);
+        return simulation::burst{.rank_ = *rc::gen::inRange<std::size_t>(0, 4),
+                                 .begin_ms_ = begin,
+                                 .end_ms_ = begin + *rc::gen::inRange(1, 3'000),
+                                 .items_per_ms_ = *rc::gen::inRange(1, 4),
+                                 .tenants_ = *rc::gen::inRange(1, 5)};
+    }));
+}
+
+} // namespace
+
+// Guards against a flood of any rank, the most urgent included, that takes the slots another rank was
+// promised.
+TEST(admission_queue, least_shares_hold_for_any_arrivals) {
+    EXPECT_TRUE(rc::check("least shares", [] {
+        const simulation::run_settings settings{.slots_ = *rc::gen::inRange<std::uint32_t>(1, 9),
+                                                .seed_ = *rc::gen::arbitrary<std::uint32_t>()};
+        admission_queue queue{simulation::declare(settings.slots_)};
+        const auto history = simulation::run(queue, settings, any_bursts());
+        RC_ASSERT(simulation::keeps_least_shares(history, settings.slots_, admission_queue::urgent_burst));
+    }));
+}
+
+// Guards against each single flood in turn, with all other ranks asking for more than their share.
+TEST(admission_queue, least_shares_hold_when_every_rank_floods) {
+    for (std::size_t flooding = 0; flooding < simulation::rank_names.size(); ++flooding) {
+        std::vector<simulation::burst> bursts;
+        for (std::size_t rank = 0; rank < simulation::rank_names.size(); ++rank) {
+            bursts.push_back({.rank_ = rank, .end_ms_ = 5'000, .items_per_ms_ = rank == flooding ? 20 : 1});
+        }
+        const simulation::run_settings settings{.slots_ = 2, .length_ms_ = 5'000};
+        admission_queue queue{simulation::declare(settings.slots_)};
+        EXPECT_TRUE(simulation::keeps_least_shares(simulation::run(queue, settings, bursts), settings.slots_,
+                                                   admission_queue::urgent_burst))
+            << simulation::rank_names[flooding];
+    }
+}
+
+// Guards against a least-share check that cannot fail: without ranks a flood does take the promised slots.
+TEST(admission_queue, first_come_first_served_breaks_the_least_shares) {
+    const simulation::run_settings settings{.slots_ = 2};
+    backends::first_come_first_served_queue queue{simulation::declare(settings.slots_)};
+    const std::vector<simulation::burst> bursts{{.rank_ = 0, .end_ms_ = 3'000, .items_per_ms_ = 20},
+                                                {.rank_ = 1, .end_ms_ = 3'000, .items_per_ms_ = 1}};
+    EXPECT_FALSE(simulation::keeps_least_shares(simulation::run(queue, settings, bursts), settings.slots_,
+                                                admission_queue::urgent_burst));
+}
+
+// Guards against items that are started twice or vanish, and against bounds that are exceeded.
+TEST(admission_queue, every_item_leaves_once_and_bounds_hold) {
+    EXPECT_TRUE(rc::check("conservation and bounds", [] {
+        constexpr std::uint32_t most_items = 12;
+        admission_queue queue{simulation::declare(2, most_items)};
+        std::set<std::uint64_t> waiting;
+        std::set<std::uint64_t> running;
+        std::int64_t now = 0;
+        const auto leave = [&](std::uint64_t id) {
+            RC_ASSERT(waiting.erase(id) == 1U);
+        };
+        const auto steps = *rc::gen::inRange(1, 200);
+        for (std::uint64_t id = 1; id <= static_cast<std::uint64_t>(steps); ++id) {
+            now += *rc::gen::inRange(0, 12);
+            const auto offered =
+                item(id, simulation::rank_names[*rc::gen::inRange<std::size_t>(0, 4)],
+                     *rc::gen::element<std::string>("a", "b"), now + *rc::gen::inRange(0, 200),
+                     *rc::gen::inRange<std::uint64_t>(0, 400));
+            const auto outcome = queue.offer(offered, at(now));
+            std::for_each(outcome->displaced_.begin(), outcome->displaced_.end(),
+                          [&](const auto& displaced) { leave(displaced->id_); });
+            if (!outcome->refused_) {
+                waiting.insert(id);
+            }
+            RC_ASSERT(queue.load()->queued_ <= most_items);
+            RC_ASSERT(queue.load()->bytes_ <= most_items * 100);
+            if (!waiting.empty() && *rc::gen::inRange(0, 10) == 0) {
+                const auto withdrawn = *waiting.begin();
+                if (queue.withdraw(withdrawn)) {
+                    leave(withdrawn);
+                }
+            }
+            const auto free = *rc::gen::inRange<std::uint32_t>(0, 3);
+            const auto started = queue.next(at(now), free);
+            RC_ASSERT(started.size() <= free);
+            for (const auto next : started) {
+                leave(next);
+                RC_ASSERT(running.insert(next).second);
+            }
+            for (const auto& late : queue.expire(at(now))) {
+                leave(late->id_);
+            }
+            if (!running.empty() && *rc::gen::inRange(0, 2) == 0) {
+                queue.finish(*running.begin(), at(now));
+                running.erase(running.begin());
+            }
+            RC_ASSERT(queue.load()->queued_ == waiting.size());
+            RC_ASSERT(queue.load()->running_ == running.size());
+        }
+        for (const auto& late : queue.expire(at(now + 1'000))) {
+            leave(late->id_);
+        }
+        RC_ASSERT(waiting.empty());
+    }));
+}
+
+// Guards against urgent work that waits behind other ranks although it is no flood.
+TEST(admission_queue, urgent_item_goes_before_a_backlog) {
+    admission_queue queue{simulation::declare(1)};
+    for (std::uint64_t id = 1; id <= 50; ++id) {
+        EXPECT_FALSE(queue.offer(item(id, id % 2 == 0 ? "low" : "normal"), at(0))->refused_);
+    }
+    ASSERT_EQ(queue.next(at(0), 1).size(), 1U);
+    EXPECT_FALSE(queue.offer(item(99, "urgent"), at(5))->refused_);
+    queue.finish(1, at(20));
+    EXPECT_EQ(queue.next(at(20), 1), (std::vector<std::uint64_t>{99}));
+}
+
+// Guards against one tenant's backlog that delays the only request of another tenant.
+TEST(admission_queue, tenants_take_turns) {
+    admission_queue queue{simulation::declare(3)};
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        static_cast<void>(queue.offer(item(id, "urgent", "heavy"), at(0)));
+    }
+    static_cast<void>(queue.offer(item(21, "urgent", "light"), at(0)));
+    EXPECT_EQ(queue.next(at(0), 3), (std::vector<std::uint64_t>{1, 21, 2}));
+}
+
+// Guards against a full queue that keeps urgent work out, and against displaced items nobody hears of.
+TEST(admission_queue, urgent_item_displaces_the_newest_least_urgent_one) {
+    admission_queue queue{simulation::declare(1, 20)};
+    std::uint64_t id = 0;
+    while (!queue.offer(item(++id, "bulk"), at(0))->refused_) {
+    }
+    const auto outcome = queue.offer(item(100, "urgent"), at(0));
+    EXPECT_FALSE(outcome->refused_);
+    EXPECT_TRUE(outcome->displaced_.empty()) << "the reserve of the rank has room";
+    std::vector<backends::queue_refusal> displaced;
+    for (std::uint64_t urgent = 101; displaced.empty() && urgent < 200; ++urgent) {
+        displaced = queue.offer(item(urgent, "urgent"), at(0))->displaced_;
+    }
+    ASSERT_EQ(displaced.size(), 1U);
+    EXPECT_EQ(displaced[0]->id_, id - 1);
+    EXPECT_EQ(displaced[0]->reason_.kind(), base::error_kind::overloaded);
+    EXPECT_GT(displaced[0]->retry_after_.count(), 0);
+}
+
+// Guards against requests that wait for a slot although their deadline will pass first, and against a long
+// stall of the database after which the estimate refuses everything for ever.
+TEST(admission_queue, hopeless_request_is_refused_but_one_at_a_time_tests_the_estimate) {
+    admission_queue queue{simulation::declare(1)};
+    static_cast<void>(queue.offer(item(1, "low", "a", 5'000), at(0)));
+    ASSERT_EQ(queue.next(at(0), 1).size(), 1U);
+    queue.finish(1, at(3'000));
+    EXPECT_FALSE(queue.offer(item(2, "low", "a", 3'600), at(3'100))->refused_) << "trial";
+    const auto refused = queue.offer(item(3, "low", "a", 3'600), at(3'100))->refused_;
+    ASSERT_TRUE(refused);
+    EXPECT_EQ((*refused)->reason_.kind(), base::error_kind::overloaded);
+    EXPECT_GT((*refused)->retry_after_.count(), 0);
+}
+
+// Guards against a tenant without a limit of its own escaping the default one, and against leaked counts.
+TEST(admission_queue, tenant_limit_counts_queued_and_running) {
+    const auto declaration = simulation::declare(2).with([](auto& fields) {
+        fields.tenants_ = {{.name_ = "default", .most_in_flight_ = 2},
+                           {.name_ = "big", .most_in_flight_ = 3}};
+    });
+    admission_queue queue{declaration};
+    EXPECT_FALSE(queue.offer(item(1, "low"), at(0))->refused_);
+    ASSERT_EQ(queue.next(at(0), 1).size(), 1U);
+    EXPECT_FALSE(queue.offer(item(2, "low"), at(0))->refused_);
+    EXPECT_TRUE(queue.offer(item(3, "low"), at(0))->refused_);
+    EXPECT_FALSE(queue.offer(item(4, "low", "big"), at(0))->refused_);
+    queue.finish(1, at(1));
+    EXPECT_FALSE(queue.offer(item(5, "low"), at(1))->refused_);
+}
+
+// Guards against long statements that count like short ones: a rank of long ones would take more than it may.
+TEST(admission_queue, long_statements_of_a_flooding_rank_leave_the_others_their_share) {
+    admission_queue queue{simulation::declare(1)};
+    std::uint64_t id = 0;
+    std::int64_t now = 0;
+    std::map<std::string, std::int64_t> used;
+    while (now < 20'000) {
+        for (const auto* rank : {"normal", "low"}) {
+            static_cast<void>(queue.offer(item(++id, rank, rank, 100'000), at(now)));
+        }
+        const auto before = queue.load();
+        const auto started = queue.next(at(now), 1);
+        ASSERT_EQ(started.size(), 1U);
+        const bool is_low = before->ranks_[2].queued_ != queue.load()->ranks_[2].queued_;
+        const std::int64_t length = is_low ? 10 : 200;
+        used[is_low ? "low" : "normal"] += length;
+        now += length;
+        queue.finish(started[0], at(now));
+    }
+    // Weights 3 and 2: what nobody claims is divided in slot time, not in statements.
+    EXPECT_GT(used["low"], now * 3 / 10);
+    EXPECT_GT(used["normal"], now * 5 / 10);
+}
