--- /dev/null
+++ b/libraries/backends/hold_back_notice.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/immutable.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace backends {
+
+/// What the home of a database group tells entry daemons about one rank.
+struct hold_back_notice_fields {
+    std::string group_;
+    std::string rank_;
+    /// Part of the requests to admit: 100 admits everything, 0 nothing.
+    std::uint32_t percent_ = 100;
+    /// How long the notice holds after it arrived. Relative, because the clocks of two hosts differ.
+    base::clock::duration valid_for_{0};
+
+    friend auto operator<=>(const hold_back_notice_fields&, const hold_back_notice_fields&) = default;
+    friend bool operator==(const hold_back_notice_fields&, const hold_back_notice_fields&) = default;
+};
+
+using hold_back_notice = base::immutable<hold_back_notice_fields>;
+
+} // namespace backends
--- /dev/null
+++ b/libraries/backends/hold_back_table.cpp
@@ -0,0 +1,55 @@
+#include <backends/hold_back_table.hpp>
+
+#include <backends/hold_back.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace backends {
+
+using base::clock;
+
+hold_back_table hold_back_table::with(std::span<const hold_back_notice> notices,
+                                      clock::time_point now) const {
+    std::map<std::pair<std::string, std::string>, entry> merged;
+    for (const auto& present : entries_) {
+        if (present.until_ > now) {
+            merged.emplace(std::pair{present.group_, present.rank_}, present);
+        }
+    }
+    for (const auto& notice : notices) {
+        const auto valid_for = std::min(notice->valid_for_, longest_hold_back);
+        const std::pair key{notice->group_, notice->rank_};
+        if (notice->percent_ >= 100 || valid_for <= clock::duration{0}) {
+            merged.erase(key);
+        } else if (merged.size() < most_entries || merged.contains(key)) {
+            merged.insert_or_assign(key,
+                                    entry{notice->group_, notice->rank_, notice->percent_, now + valid_for});
+        }
+    }
+    hold_back_table next;
+    for (auto& [key, value] : merged) {
+        next.entries_.push_back(std::move(value));
+    }
+    return next;
+}
+
+std::optional<clock::duration> hold_back_table::find_refusal(std::string_view group, std::string_view rank,
+                                                             clock::time_point now,
+                                                             std::uint64_t random) const {
+    const std::pair key{group, rank};
+    const auto key_of = [](const entry& present) {
+        return std::pair<std::string_view, std::string_view>{present.group_, present.rank_};
+    };
+    const auto found =
+        std::lower_bound(entries_.begin(), entries_.end(), key,
+                         [&](const entry& present, const auto& wanted) { return key_of(present) < wanted; });
+    if (found == entries_.end() || key_of(*found) != key || found->until_ <= now ||
+        random % 100 < found->percent_) {
+        return std::nullopt;
+    }
+    return found->until_ - now;
+}
+
+} // namespace backends
