--- a/libraries/daemons/events.hpp
+++ b/libraries/daemons/events.hpp
@@ -7,10 +7,52 @@
 /// Events of this package, numbered from 600.
 namespace daemons::events {
 
-inline constexpr base::event_definition package_loaded{600, "package_loaded", base::severity::debug,
-                                                       "The package was set up."};
+inline constexpr base::event_definition member_joined{600, "member_joined", base::severity::info,
+                                                      "A member was heard of for the first time."};
+inline constexpr base::event_definition member_suspected{601, "member_suspected", base::severity::info,
+                                                         "A member did not answer a probe and may refute."};
+inline constexpr base::event_definition member_returned{
+    602, "member_returned", base::severity::info, "A member refuted its suspicion or death, or restarted."};
+inline constexpr base::event_definition member_leaving{603, "member_leaving", base::severity::info,
+                                                       "A member drains and takes no new work."};
+inline constexpr base::event_definition member_dead{604, "member_dead", base::severity::warning,
+                                                    "A member did not refute its suspicion in time."};
+inline constexpr base::event_definition suspicion_refuted{
+    605, "suspicion_refuted", base::severity::warning,
+    "Other members took this daemon for failed or as another incarnation; it answered with a new one."};
+inline constexpr base::event_definition datagram_invalid{606, "datagram_invalid", base::severity::warning,
+                                                         "A membership datagram could not be read."};
+inline constexpr base::event_definition peer_frame_invalid{
+    610, "peer_frame_invalid", base::severity::warning,
+    "A peer sent a frame that cannot be read; its connection was closed."};
+inline constexpr base::event_definition peer_silent{
+    611, "peer_silent", base::severity::warning,
+    "A connection to a peer went silent and was replaced by a fresh one."};
+inline constexpr base::event_definition peer_handler_failed{
+    612, "peer_handler_failed", base::severity::error,
+    "The handler of a peer's question threw an exception; the peer was told that the outcome is unknown."};
+inline constexpr base::event_definition configuration_accepted{
+    620, "configuration_accepted", base::severity::info, "A newer configuration was put into force."};
+inline constexpr base::event_definition configuration_unreadable{
+    621, "configuration_unreadable", base::severity::warning,
+    "A peer's configuration could not be read and was left out."};
+inline constexpr base::event_definition configuration_fetch_failed{
+    622, "configuration_fetch_failed", base::severity::info,
+    "A peer did not deliver its configuration; the next one is asked."};
 
-/// Every definition above, for the test against docs/events.md.
-inline constexpr std::array all{&package_loaded};
+/// Every definition above, for the test against docs/events/daemons.md.
+inline constexpr std::array all{&member_joined,
+                                &member_suspected,
+                                &member_returned,
+                                &member_leaving,
+                                &member_dead,
+                                &suspicion_refuted,
+                                &datagram_invalid,
+                                &peer_frame_invalid,
+                                &peer_silent,
+                                &peer_handler_failed,
+                                &configuration_accepted,
+                                &configuration_unreadable,
+                                &configuration_fetch_failed};
 
 } // namespace daemons::events
--- /dev/null
+++ b/libraries/daemons/membership.cpp
@@ -0,0 +1,534 @@
+#include <daemons/membership.hpp>
+
+#include <algorithm>
+#include <bit>
+#include <iterator>
+
+namespace daemons {
+
+namespace {
+
+using time_point = base::clock::time_point;
+
+// A relayed probe beyond this number is not taken on; it bounds what requests from others cost.
+constexpr std::size_t most_relays = 64;
+// News is sent this often times the logarithm of the fleet's size, which reaches all with high probability.
+constexpr std::uint32_t news_factor = 2;
+// A tick this many periods late means that this process was paused; its own silence proves nothing of others.
+constexpr int pause_periods = 2;
+
+/// Whether a piece of news is fresh or comes from a copy of a member list.
+enum class news_source : std::uint8_t { gossip, list };
+
+/// The working parts of one step.
+class stepper {
+public:
+    stepper(membership_state state, time_point now, std::uint64_t entropy)
+        : state_{std::move(state)}, now_{now}, random_{entropy} {}
+
+    membership_step finish() && { return {std::move(state_), std::move(messages_), std::move(changes_)}; }
+
+    void operator()(const time_passed& /*event*/) {
+        excuse_pause();
+        expire();
+        ask_others_to_probe();
+        if (now_ >= state_.next_period_) {
+            judge_probe();
+            start_probe();
+            state_.next_period_ = std::max(state_.next_period_ + state_.settings_.period_, now_);
+        }
+        if (now_ >= state_.next_exchange_) {
+            request_list_from_anyone();
+            state_.next_exchange_ = now_ + jittered(state_.settings_.exchange_);
+        }
+        if (now_ >= state_.next_heal_) {
+            try_seed_or_dead();
+            state_.next_heal_ = now_ + jittered(state_.settings_.heal_);
+        }
+    }
+
+    void operator()(const datagram_received& event) {
+        const auto& message = *event.message_;
+        const auto& sender = message.sender_;
+        if (sender->name_ == state_.self_) {
+            return;
+        }
+        merge(sender, news_source::gossip);
+        const auto source =
+            message.kind_ == datagram_kind::list_answer ? news_source::list : news_source::gossip;
+        for (const auto& update : message.updates_) {
+            merge(update, source);
+        }
+        switch (message.kind_) {
+        case datagram_kind::ping:
+            answer_ping(sender->address_, sender->name_, message.sequence_, state_.self_);
+            break;
+        case datagram_kind::ack:
+            take_ack(message);
+            break;
+        case datagram_kind::ping_request:
+            relay_ping(message);
+            break;
+        case datagram_kind::list_request:
+            answer_list(message);
+            break;
+        case datagram_kind::list_answer:
+            take_list(message);
+            break;
+        }
+        if (!state_.list_complete_ && state_.list_cursor_.empty() && message.kind_ == datagram_kind::ack) {
+            request_list(sender);
+        }
+    }
+
+    void operator()(const leave_requested& /*event*/) {
+        auto& self = state_.members_.at(state_.self_);
+        if (self.member_->state_ == member_state::leaving) {
+            return;
+        }
+        set_member(self,
+                   self.member_.with([](member_fields& fields) { fields.state_ = member_state::leaving; }));
+        // Peers should stop sending work now, not when their turn to be probed comes.
+        for (const auto& name : pick_members(state_.settings_.indirect_probes_, state_.self_)) {
+            send_ping(name);
+        }
+    }
+
+    void operator()(const seeds_changed& event) { state_.settings_.seeds_ = event.seeds_; }
+
+    void operator()(const revision_changed& event) {
+        auto& self = state_.members_.at(state_.self_);
+        self.member_ = self.member_.with(
+            [&event](member_fields& fields) { fields.configuration_revision_ = event.revision_; });
+    }
+
+private:
+    const member& self() const { return state_.members_.at(state_.self_).member_; }
+
+    std::size_t draw(std::size_t bound) {
+        return std::uniform_int_distribution<std::size_t>{0, bound - 1}(random_);
+    }
+
+    // Between three and five quarters of a period, so that daemons that started together drift apart.
+    base::clock::duration jittered(base::clock::duration period) {
+        const auto quarter = std::max<std::int64_t>(period.count() / 4, 1);
+        return base::clock::duration{3 * quarter +
+                                     static_cast<std::int64_t>(draw(static_cast<std::size_t>(2 * quarter)))};
+    }
+
+    // --- knowledge ---
+
+    void set_member(known_member& known, member news) {
+        const auto before =
+            known.member_->name_.empty() ? std::nullopt : std::optional{known.member_->state_};
+        const auto& name = news->name_;
+        state_.suspects_.erase(name);
+        state_.dead_.erase(name);
+        if (news->state_ == member_state::suspect) {
+            state_.suspects_.insert(name);
+        }
+        if (news->state_ == member_state::dead) {
+            state_.dead_.insert(name);
+        }
+        if (before != news->state_) {
+            known.since_ = now_;
+            changes_.push_back({before, news});
+        }
+        known.member_ = std::move(news);
+        ++state_.list_version_;
+        queue_news(known);
+    }
+
+    void queue_news(known_member& known) {
+        const auto& name = known.member_->name_;
+        if (known.sent_) {
+            state_.news_.erase({*known.sent_, name});
+        }
+        known.sent_ = 0;
+        state_.news_.insert({0, name});
+    }
+
+    void merge(const member& news, news_source source) {
+        if (news->name_ == state_.self_) {
+            refute(news);
+            return;
+        }
+        const auto found = state_.members_.find(news->name_);
+        if (found == state_.members_.end()) {
+            // A list that still holds a dead member must not bring it back to those that forgot it, or the
+            // dead would go round for ever.
+            if (news->state_ != member_state::dead || source == news_source::gossip) {
+                set_member(state_.members_[news->name_], news);
+                enter_probe_order(news->name_);
+            }
+            return;
+        }
+        auto& known = found->second;
+        if (overrides(news, known.member_)) {
+            const bool returns = known.member_->state_ == member_state::dead;
+            set_member(known, news);
+            if (returns) {
+                enter_probe_order(news->name_);
+            }
+        } else if (!overrides(known.member_, news) &&
+                   news->configuration_revision_ > known.member_->configuration_revision_) {
+            known.member_ = known.member_.with([&news](member_fields& fields) {
+                fields.configuration_revision_ = news->configuration_revision_;
+            });
+        }
+    }
+
+    void refute(const member& news) {
+        auto& known = state_.members_.at(state_.self_);
+        if (overrides(news, known.member_)) {
+            set_member(known, known.member_.with([&news](member_fields& fields) {
+                fields.incarnation_ = news->incarnation_ + 1;
+            }));
+            changes_.push_back({news->state_, known.member_});
+        }
+    }
+
+    void declare(const std::string& name, member_state state) {
+        auto& known = state_.members_.at(name);
+        set_member(known, known.member_.with([state](member_fields& fields) { fields.state_ = state; }));
+    }
+
+    void enter_probe_order(const std::string& name) {
+        auto& order = state_.probe_order_;
+        if (std::find(order.begin(), order.end(), name) != order.end()) {
+            return;
+        }
+        order.push_back(name);
+        // A random place among those still to come keeps a wave of new members from being probed by all
+        // others at the same time.
+        const auto first = std::min(state_.next_probe_, order.size() - 1);
+        std::swap(order[first + draw(order.size() - first)], order.back());
+    }
+
+    // --- time ---
+
+    void excuse_pause() {
+        const auto gap = now_ - state_.last_tick_;
+        state_.last_tick_ = now_;
+        if (gap <= pause_periods * state_.settings_.period_) {
+            return;
+        }
+        state_.probe_.reset();
+        for (const auto& name : state_.suspects_) {
+            state_.members_.at(name).since_ += gap;
+        }
+    }
+
+    void expire() {
+        std::vector<std::string> given_up;
+        std::copy_if(state_.suspects_.begin(), state_.suspects_.end(), std::back_inserter(given_up),
+                     [this](const auto& name) { return is_older(name, state_.settings_.suspicion_); });
+        for (const auto& name : given_up) {
+            declare(name, member_state::dead);
+        }
+        std::erase_if(state_.relays_, [this](const auto& entry) { return entry.second.expires_ <= now_; });
+        std::erase_if(state_.dead_, [this](const auto& name) {
+            if (!is_older(name, state_.settings_.dead_kept_)) {
+                return false;
+            }
+            forget(name);
+            return true;
+        });
+    }
+
+    bool is_older(const std::string& name, base::clock::duration age) const {
+        return now_ - state_.members_.at(name).since_ >= age;
+    }
+
+    void forget(const std::string& name) {
+        const auto found = state_.members_.find(name);
+        if (found->second.sent_) {
+            state_.news_.erase({*found->second.sent_, name});
+        }
+        state_.members_.erase(found);
+        std::erase(state_.probe_order_, name);
+        ++state_.list_version_;
+    }
+
+    // --- probes ---
+
+    void start_probe() {
+        const auto target = next_to_probe();
+        if (!target) {
+            ping_seed();
+            return;
+        }
+        state_.probe_ = member_probe{*target, state_.last_sequence_ + 1, now_};
+        send_ping(*target);
+    }
+
+    std::optional<std::string> next_to_probe() {
+        for (int pass = 0; pass < 2; ++pass) {
+            for (; state_.next_probe_ < state_.probe_order_.size(); ++state_.next_probe_) {
+                const auto& name = state_.probe_order_[state_.next_probe_];
+                if (!state_.dead_.contains(name)) {
+                    ++state_.next_probe_;
+                    return name;
+                }
+            }
+            shuffle_probe_order();
+        }
+        return std::nullopt;
+    }
+
+    void shuffle_probe_order() {
+        std::erase_if(state_.probe_order_, [this](const auto& name) { return state_.dead_.contains(name); });
+        std::shuffle(state_.probe_order_.begin(), state_.probe_order_.end(), random_);
+        state_.next_probe_ = 0;
+    }
+
+    void ask_others_to_probe() {
+        auto& probe = state_.probe_;
+        if (!probe || probe->answered_ || probe->asked_others_ ||
+            now_ - probe->started_ < state_.settings_.indirect_after_) {
+            return;
+        }
+        probe->asked_others_ = true;
+        const auto& target = state_.members_.at(probe->target_).member_;
+        for (const auto& name : pick_members(state_.settings_.indirect_probes_, probe->target_)) {
+            auto request = compose(datagram_kind::ping_request, probe->sequence_);
+            request.subject_ = probe->target_;
+            request.subject_address_ = target->address_;
+            send_to_member(name, std::move(request));
+        }
+    }
+
+    void judge_probe() {
+        const auto probe = std::exchange(state_.probe_, std::nullopt);
+        if (!probe || probe->answered_) {
+            return;
+        }
+        const auto found = state_.members_.find(probe->target_);
+        if (found == state_.members_.end()) {
+            return;
+        }
+        const auto state = found->second.member_->state_;
+        if (state == member_state::live) {
+            declare(probe->target_, member_state::suspect);
+            // Tells the suspect itself, so that it can refute without waiting for the news to come round.
+            send_ping(probe->target_);
+        } else if (state == member_state::leaving) {
+            declare(probe->target_, member_state::dead);
+        }
+    }
+
+    void send_ping(const std::string& name) {
+        auto ping = compose(datagram_kind::ping, ++state_.last_sequence_);
+        ping.subject_ = name;
+        send_to_member(name, std::move(ping));
+    }
+
+    void ping_address(const base::endpoint& address) {
+        if (address != self()->address_) {
+            send(address, {}, compose(datagram_kind::ping, ++state_.last_sequence_));
+        }
+    }
+
+    void answer_ping(const base::endpoint& to, const std::string& name, std::uint64_t sequence,
+                     const std::string& subject) {
+        auto ack = compose(datagram_kind::ack, sequence);
+        ack.subject_ = subject;
+        send(to, name, std::move(ack));
+    }
+
+    void take_ack(const datagram_fields& message) {
+        if (state_.probe_ && state_.probe_->sequence_ == message.sequence_ &&
+            state_.probe_->target_ == message.subject_) {
+            state_.probe_->answered_ = true;
+            return;
+        }
+        const auto relay = state_.relays_.find(message.sequence_);
+        if (relay != state_.relays_.end() && relay->second.target_ == message.subject_) {
+            answer_ping(relay->second.requester_, {}, relay->second.requester_sequence_, message.subject_);
+            state_.relays_.erase(relay);
+        }
+    }
+
+    void relay_ping(const datagram_fields& message) {
+        if (state_.relays_.size() >= most_relays) {
+            return;
+        }
+        auto ping = compose(datagram_kind::ping, ++state_.last_sequence_);
+        ping.subject_ = message.subject_;
+        state_.relays_[ping.sequence_] = {message.subject_, message.sender_->address_, message.sequence_,
+                                          now_ + state_.settings_.period_};
+        send(message.subject_address_, message.subject_, std::move(ping));
+    }
+
+    // Up to `count` different serving members other than this one and `except`.
+    std::vector<std::string> pick_members(std::size_t count, const std::string& except) {
+        std::vector<std::string> picked;
+        const auto& order = state_.probe_order_;
+        const auto start = order.empty() ? 0 : draw(order.size());
+        for (std::size_t offset = 0; offset < order.size() && picked.size() < count; ++offset) {
+            const auto& name = order[(start + offset) % order.size()];
+            if (name != except && is_serving(state_.members_.at(name).member_)) {
+                picked.push_back(name);
+            }
+        }
+        return picked;
+    }
+
+    // --- joining, healing and the exchange of lists ---
+
+    void ping_seed() {
+        const auto& seeds = state_.settings_.seeds_;
+        if (!seeds.empty()) {
+            ping_address(seeds[draw(seeds.size())]);
+        }
+    }
+
+    // One datagram from each daemon each time: two healed sides find each other within a few rounds, and the
+    // contacts stay spread over time.
+    void try_seed_or_dead() {
+        const auto choices = state_.settings_.seeds_.size() + state_.dead_.size();
+        if (choices == 0) {
+            return;
+        }
+        const auto choice = draw(choices);
+        if (choice < state_.settings_.seeds_.size()) {
+            ping_address(state_.settings_.seeds_[choice]);
+            return;
+        }
+        const auto offset = static_cast<std::ptrdiff_t>(choice - state_.settings_.seeds_.size());
+        send_ping(*std::next(state_.dead_.begin(), offset));
+    }
+
+    void request_list_from_anyone() {
+        const auto picked = pick_members(1, state_.self_);
+        if (!picked.empty()) {
+            request_list(state_.members_.at(picked.front()).member_);
+        }
+    }
+
+    void request_list(const member& from) {
+        auto request = compose(datagram_kind::list_request, ++state_.last_sequence_);
+        request.after_ = state_.list_cursor_;
+        send(from->address_, from->name_, std::move(request));
+    }
+
+    void answer_list(const datagram_fields& request) {
+        datagram_fields answer{.kind_ = datagram_kind::list_answer,
+                               .sequence_ = request.sequence_,
+                               .sender_ = self(),
+                               .after_ = request.after_};
+        auto room = most_datagram_bytes - wire_bytes_without_updates(answer) - most_member_text_bytes;
+        for (auto next = state_.members_.upper_bound(request.after_); next != state_.members_.end(); ++next) {
+            const auto& known = next->second.member_;
+            if (wire_bytes(known) > room) {
+                answer.until_ = std::prev(next)->first;
+                break;
+            }
+            room -= wire_bytes(known);
+            answer.updates_.push_back(known);
+        }
+        messages_.push_back({request.sender_->address_, std::move(answer)});
+    }
+
+    void take_list(const datagram_fields& answer) {
+        if (answer.after_ != state_.list_cursor_) {
+            return;
+        }
+        state_.list_cursor_ = answer.until_;
+        if (answer.until_.empty()) {
+            state_.list_complete_ = true;
+        } else if (!state_.list_complete_) {
+            request_list(answer.sender_);
+        }
+    }
+
+    // --- datagrams ---
+
+    datagram_fields compose(datagram_kind kind, std::uint64_t sequence) const {
+        return {.kind_ = kind, .sequence_ = sequence, .sender_ = self()};
+    }
+
+    void send_to_member(const std::string& name, datagram_fields message) {
+        send(state_.members_.at(name).member_->address_, name, std::move(message));
+    }
+
+    void send(const base::endpoint& to, const std::string& name, datagram_fields message) {
+        add_updates(message, name);
+        messages_.push_back({to, std::move(message)});
+    }
+
+    void add_updates(datagram_fields& message, const std::string& receiver) {
+        auto room = most_datagram_bytes - wire_bytes_without_updates(message);
+        const auto add = [&](const member& news) {
+            if (wire_bytes(news) > room) {
+                return false;
+            }
+            room -= wire_bytes(news);
+            message.updates_.push_back(news);
+            return true;
+        };
+        // A receiver that is not known as live hears so first, which lets it refute.
+        const auto known = state_.members_.find(receiver);
+        if (known != state_.members_.end() && known->second.member_->state_ != member_state::live) {
+            add(known->second.member_);
+        }
+        std::vector<std::string> told;
+        for (const auto& [sent, name] : state_.news_) {
+            if (name == receiver) {
+                continue;
+            }
+            // The sender's own record is in every datagram.
+            if (name != state_.self_ && !add(state_.members_.at(name).member_)) {
+                break;
+            }
+            told.push_back(name);
+        }
+        for (const auto& name : told) {
+            count_as_sent(state_.members_.at(name));
+        }
+    }
+
+    void count_as_sent(known_member& known) {
+        const auto limit = news_factor * static_cast<std::uint32_t>(std::bit_width(state_.members_.size()));
+        const auto& name = known.member_->name_;
+        state_.news_.erase({*known.sent_, name});
+        if (++*known.sent_ >= limit) {
+            known.sent_.reset();
+        } else {
+            state_.news_.insert({*known.sent_, name});
+        }
+    }
+
+    membership_state state_;
+    time_point now_;
+    std::mt19937 random_;
+    std::vector<outgoing_datagram> messages_;
+    std::vector<member_change> changes_;
+};
+
+} // namespace
+
+membership_state start_membership(const member& self, membership_settings settings, time_point now) {
+    membership_state state;
+    state.settings_ = std::move(settings);
+    state.self_ = self->name_;
+    state.members_[self->name_] = {self, now, std::nullopt};
+    state.last_tick_ = now;
+    state.next_period_ = now;
+    state.next_exchange_ = now + state.settings_.exchange_;
+    state.next_heal_ = now + state.settings_.heal_;
+    return state;
+}
+
+membership_step step(membership_state state, const membership_event& event, time_point now,
+                     std::uint64_t entropy) {
+    stepper working{std::move(state), now, entropy};
+    std::visit(working, event);
+    return std::move(working).finish();
+}
+
+const member& self_of(const membership_state& state) {
+    return state.members_.at(state.self_).member_;
+}
+
+} // namespace daemons
--- /dev/null
+++ b/libraries/daemons/message_codec.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <base/answer.hpp>
+#include <base/request.hpp>
+#include <base/result.hpp>
+#include <daemons/configuration_offer.hpp>
+#include <daemons/datagram.hpp>
+#include <daemons/hold_back_notice.hpp>
+#include <daemons/refusal.hpp>
+#include <daemons/suspicion_check.hpp>
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+/// Encoding of what frames and datagrams carry, with cereal's portable binary archive.
+namespace daemons {
+
+/// The message types that have an encoding.
+template <typename Message>
+concept wire_message = std::same_as<Message, base::request> || std::same_as<Message, base::answer> ||
+    std::same_as<Message, refusal> || std::same_as<Message, suspicion_check> ||
+    std::same_as<Message, reachability> || std::same_as<Message, configuration_fetch> ||
+    std::same_as<Message, configuration_offer> || std::same_as<Message, hold_back_notice> ||
+    std::same_as<Message, datagram>;
+
+/// Returns the bytes of a message. Negative durations are sent as zero.
+template <wire_message Message>
+[[nodiscard]] std::string encode_message(const Message& message);
+
+/// Reads a message. Lengths are checked against what is left before anything is allocated; trailing bytes,
+/// unknown enum values and durations out of range are refused. Errors: `frame_invalid`.
+template <wire_message Message>
+[[nodiscard]] base::result<Message> decode_message(std::string_view bytes);
+
+} // namespace daemons
--- /dev/null
+++ b/libraries/daemons/rendezvous.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace daemons {
+
+/// Returns the weight of a member for a key (XXH3, the same on all hosts). The member with the greatest
+/// weight holds the key.
+[[nodiscard]] std::uint64_t rendezvous_weight(std::string_view key, std::string_view member) noexcept;
+
+} // namespace daemons
