--- /dev/null
+++ b/libraries/daemons/peer_client.cpp
@@ -0,0 +1,115 @@
+#include <daemons/peer_client.hpp>
+
+#include <daemons/message_codec.hpp>
+#include <daemons/peer_link.hpp>
+
+namespace daemons {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A frame of the wrong type or a body that cannot be read: the peer acted on the question all the same.
+base::error unreadable(const base::endpoint& peer, const std::string& reason) {
+    return base::error{base::error_kind::answer_lost,
+                       "the answer of peer " + peer.to_string() + " cannot be read: " + reason};
+}
+
+template <typename Message>
+base::result<Message> read_answer(const base::endpoint& peer, const base::result<frame>& reply,
+                                  frame_type expected) {
+    if (!reply) {
+        return reply.last_reason();
+    }
+    if (reply->type() == frame_type::failure) {
+        const auto refused = decode_message<refusal>(reply->body());
+        if (!refused) {
+            return unreadable(peer, refused.last_reason().message());
+        }
+        const auto& fields = **refused;
+        return base::error{fields.kind_, fields.message_};
+    }
+    if (reply->type() != expected) {
+        return unreadable(peer, "it is of another type than the question");
+    }
+    auto decoded = decode_message<Message>(reply->body());
+    if (!decoded) {
+        return unreadable(peer, decoded.last_reason().message());
+    }
+    return decoded;
+}
+
+} // namespace
+
+bool may_have_run(const base::error& failure) noexcept {
+    return failure.kind() == base::error_kind::answer_lost;
+}
+
+peer_client::peer_client(asio::any_io_executor executor, peer_limits limits, std::uint64_t seed)
+    : executor_{std::move(executor)}, limits_{limits}, random_{seed} {}
+
+peer_client::~peer_client() = default;
+
+asio::awaitable<base::result<base::answer>> peer_client::forward(base::endpoint peer, base::request message,
+                                                                 base::clock::duration timeout) {
+    auto body = encode_message(message);
+    const auto reply = co_await ask(peer, frame_type::request, std::move(body), timeout);
+    co_return read_answer<base::answer>(peer, reply, frame_type::answer);
+}
+
+asio::awaitable<base::result<reachability>>
+peer_client::check_suspicion(base::endpoint peer, suspicion_check question, base::clock::duration timeout) {
+    auto body = encode_message(question);
+    const auto reply = co_await ask(peer, frame_type::suspicion_check, std::move(body), timeout);
+    co_return read_answer<reachability>(peer, reply, frame_type::suspicion_verdict);
+}
+
+asio::awaitable<base::result<configuration_offer>>
+peer_client::fetch_configuration(base::endpoint peer, std::uint64_t known_revision,
+                                 base::clock::duration timeout) {
+    const configuration_fetch question{configuration_fetch_fields{known_revision}};
+    auto body = encode_message(question);
+    const auto reply = co_await ask(peer, frame_type::configuration_fetch, std::move(body), timeout);
+    co_return read_answer<configuration_offer>(peer, reply, frame_type::configuration_offer);
+}
+
+asio::awaitable<base::result<frame>> peer_client::ask(base::endpoint peer, frame_type type, std::string body,
+                                                      base::clock::duration timeout) {
+    const auto deadline = base::clock::now() + timeout;
+    const auto link = link_to(peer);
+    const std::uint64_t entropy = random_();
+    auto connection = co_await link->acquire(deadline, entropy);
+    if (!connection) {
+        co_return connection.last_reason();
+    }
+    const auto asked = *connection;
+    const auto left = deadline - base::clock::now();
+    co_return co_await asked->ask(type, std::move(body), left);
+}
+
+std::shared_ptr<peer_link> peer_client::link_to(const base::endpoint& peer) {
+    const auto found = links_.find(peer);
+    if (found != links_.end()) {
+        return found->second;
+    }
+    // Hosts come and go for as long as the daemon runs, so links to former ones are dropped.
+    const auto now = base::clock::now();
+    std::erase_if(links_, [now](const auto& entry) {
+        return entry.second.use_count() == 1 && entry.second->is_idle(now);
+    });
+    return links_.emplace(peer, std::make_shared<peer_link>(executor_, peer, limits_)).first->second;
+}
+
+bool peer_client::is_held_back(const base::endpoint& peer, std::string_view group,
+                               std::string_view rank) const {
+    const auto found = links_.find(peer);
+    return found != links_.end() && found->second->is_held_back(group, rank);
+}
+
+void peer_client::close() {
+    for (const auto& [peer, link] : links_) {
+        link->close();
+    }
+}
+
+} // namespace daemons
--- /dev/null
+++ b/libraries/daemons/peer_connection.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/endpoint.hpp>
+#include <base/result.hpp>
+#include <daemons/connection_health.hpp>
+#include <daemons/frame.hpp>
+#include <daemons/frame_stream.hpp>
+#include <daemons/hold_back_notice.hpp>
+#include <daemons/peer_limits.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace daemons {
+
+/// The client's end of a connection to one peer, which carries many questions at the same time.
+/// Thread safety: used by one thread only. Lifetime: kept alive by its own coroutines until it is closed.
+class peer_connection : public std::enable_shared_from_this<peer_connection> {
+public:
+    /// Connects within `limits.connect_`. Errors: `connection_failed`.
+    [[nodiscard]] static boost::asio::awaitable<base::result<std::shared_ptr<peer_connection>>>
+    connect(base::endpoint peer, peer_limits limits);
+
+    peer_connection(base::endpoint peer, peer_limits limits, boost::asio::ip::tcp::socket socket);
+
+    /// Sends a question and waits for the frame that answers it. Errors: `connection_failed` when provably
+    /// nothing of the question was sent, `answer_lost` when it may have been; `too_large`, `overloaded`
+    /// before anything is sent.
+    [[nodiscard]] boost::asio::awaitable<base::result<frame>> ask(frame_type type, std::string body,
+                                                                  base::clock::duration timeout);
+
+    /// Returns whether new questions should use this connection.
+    [[nodiscard]] bool is_usable() const noexcept { return stream_->is_open() && !retired_; }
+
+    /// Returns whether the peer asked to hold back work of this group and rank.
+    [[nodiscard]] bool is_held_back(std::string_view group, std::string_view rank) const;
+
+    /// Ends the connection and every question on it.
+    void close(std::string_view reason);
+
+private:
+    struct call {
+        explicit call(const boost::asio::any_io_executor& executor) : timer_{executor} {}
+
+        boost::asio::steady_timer timer_;
+        std::optional<frame> answer_;
+    };
+    class call_registration;
+
+    static boost::asio::awaitable<void> read_answers(std::shared_ptr<peer_connection> self);
+    static boost::asio::awaitable<void> watch_health(std::shared_ptr<peer_connection> self);
+
+    void start();
+    /// Returns false for a frame that a server does not send.
+    bool take(frame message);
+    bool take_hold_back(const std::string& body);
+    void act(health_action action);
+    void retire();
+    base::error lost(std::uint64_t id, std::string_view what);
+
+    base::endpoint peer_;
+    peer_limits limits_;
+    std::shared_ptr<frame_stream> stream_;
+    boost::asio::steady_timer health_timer_;
+    connection_activity activity_;
+    std::map<std::uint64_t, call*> calls_;
+    std::uint64_t last_id_ = 0;
+    std::map<std::pair<std::string, std::string>, base::clock::time_point> hold_backs_;
+    /// Takes no new questions; closed once the present ones have ended.
+    bool retired_ = false;
+    std::string close_reason_;
+};
+
+} // namespace daemons
--- /dev/null
+++ b/libraries/daemons/peer_replies.cpp
@@ -0,0 +1,69 @@
+#include <daemons/peer_replies.hpp>
+
+#include <daemons/events.hpp>
+#include <daemons/frame_codec.hpp>
+#include <daemons/message_codec.hpp>
+
+namespace daemons {
+
+base::result<base::request> read_request(const frame& question) {
+    return decode_message<base::request>(question.body());
+}
+
+base::result<suspicion_check> read_suspicion_check(const frame& question) {
+    return decode_message<suspicion_check>(question.body());
+}
+
+base::result<configuration_fetch> read_configuration_fetch(const frame& question) {
+    return decode_message<configuration_fetch>(question.body());
+}
+
+frame reply_with(std::uint64_t id, const base::answer& answer) {
+    auto body = encode_message(answer);
+    if (body.size() > most_body_bytes) {
+        const auto shortened = answer.with([](base::answer_fields& fields) {
+            fields.results_.clear();
+            fields.error_ = base::error{base::error_kind::too_large,
+                                        "the results do not fit into one frame between daemons"};
+        });
+        body = encode_message(shortened);
+    }
+    return frame{frame_type::answer, id, std::move(body)};
+}
+
+frame reply_with(std::uint64_t id, reachability verdict) {
+    return frame{frame_type::suspicion_verdict, id, encode_message(verdict)};
+}
+
+frame reply_with(std::uint64_t id, const configuration_offer& offer) {
+    auto body = encode_message(offer);
+    if (body.size() > most_body_bytes) {
+        const refusal reason{
+            refusal_fields{base::error_kind::too_large, "the configuration does not fit into one frame"}};
+        return frame{frame_type::failure, id, encode_message(reason)};
+    }
+    return frame{frame_type::configuration_offer, id, std::move(body)};
+}
+
+frame refuse(const frame& question, const base::error& reason) {
+    if (question.type() == frame_type::request) {
+        return reply_with(question.id(), base::not_run(reason));
+    }
+    const refusal refused{refusal_fields{reason.kind(), reason.message()}};
+    return frame{frame_type::failure, question.id(), encode_message(refused)};
+}
+
+frame announce(const hold_back_notice& notice) {
+    return frame{frame_type::hold_back, 0, encode_message(notice)};
+}
+
+base::answer answer_after_exception(const char* reason) {
+    base::log_event(events::peer_handler_failed, {{"reason", reason}});
+    return base::unknown(base::error{base::error_kind::internal, "the home of the group failed"});
+}
+
+void report_invalid_frame(const base::error& reason) {
+    base::log_event(events::peer_frame_invalid, {{"reason", reason.message()}});
+}
+
+} // namespace daemons
--- /dev/null
+++ b/libraries/daemons/peer_server.cpp
@@ -0,0 +1,1 @@
+#include <daemons/peer_server.hpp>
--- /dev/null
+++ b/libraries/daemons/peer_server.hpp
@@ -0,0 +1,267 @@
+#pragma once
+
+#include <base/answer.hpp>
+#include <base/request.hpp>
+#include <daemons/configuration_offer.hpp>
+#include <daemons/frame.hpp>
+#include <daemons/frame_stream.hpp>
+#include <daemons/hold_back_notice.hpp>
+#include <daemons/peer_limits.hpp>
+#include <daemons/peer_replies.hpp>
+#include <daemons/suspicion_check.hpp>
+#include <http/listener.hpp>
+#include <http/sleep.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <exception>
+#include <list>
+#include <memory>
+#include <utility>
+
+namespace daemons {
+
+/// Answers the questions of other daemons. Each call may suspend; many run at the same time.
+template <typename Handler>
+concept peer_handler = requires(Handler& handler, base::request message, suspicion_check suspicion,
+                                configuration_fetch fetch) {
+    { handler.forward(std::move(message)) } -> std::same_as<boost::asio::awaitable<base::answer>>;
+    { handler.check_suspicion(std::move(suspicion)) } -> std::same_as<boost::asio::awaitable<reachability>>;
+    {
+        handler.fetch_configuration(std::move(fetch))
+        } -> std::same_as<boost::asio::awaitable<configuration_offer>>;
+};
+
+/// Serves frames from other daemons on one listener, many questions on each connection at the same time.
+///
+/// A question beyond the bounds or during a drain is refused without being acted on. A frame that cannot be
+/// read closes its connection only. Thread safety: used by the thread of its executor only; each thread has
+/// its own. Lifetime: kept alive by its own coroutines.
+template <peer_handler Handler>
+class peer_server : public std::enable_shared_from_this<peer_server<Handler>> {
+public:
+    peer_server(boost::asio::any_io_executor executor, http::listener socket, Handler handler,
+                peer_limits limits)
+        : executor_{std::move(executor)}, listener_{std::move(socket)}, handler_{std::move(handler)},
+          limits_{limits} {}
+
+    /// Starts to accept. Precondition: held by a `std::shared_ptr`; called once.
+    void start() {
+        boost::asio::co_spawn(executor_, accept_connections(this->shared_from_this()), boost::asio::detached);
+    }
+
+    /// Stops accepting, tells every client to ask elsewhere and refuses further questions. Questions in
+    /// flight are finished; the drain is over when `has_work` returns false.
+    void drain() {
+        draining_ = true;
+        listener_.close();
+        for (const auto& one : connections_) {
+            one->stream_->send(frame{frame_type::goodbye, 0, {}});
+        }
+    }
+
+    /// Closes every connection at once.
+    void close() {
+        draining_ = true;
+        listener_.close();
+        for (const auto& one : connections_) {
+            one->stream_->close();
+        }
+    }
+
+    /// Tells every connected daemon to hold back work. Connections made later do not hear of it.
+    void hold_back(const hold_back_notice& notice) {
+        const auto message = announce(notice);
+        for (const auto& one : connections_) {
+            if (one->stream_->unsent_bytes() <= limits_.most_queued_bytes_) {
+                one->stream_->send(message);
+            }
+        }
+    }
+
+    /// Returns how many questions are being worked on.
+    [[nodiscard]] std::size_t questions_in_flight() const noexcept { return in_flight_; }
+
+    /// Returns whether a question is being worked on or an answer is not yet written.
+    [[nodiscard]] bool has_work() const noexcept {
+        bool unsent = false;
+        for (const auto& one : connections_) {
+            unsent = unsent || (one->stream_->is_open() && one->stream_->unsent_bytes() > 0);
+        }
+        return unsent || in_flight_ > 0;
+    }
+
+    [[nodiscard]] std::size_t open_connections() const noexcept { return connections_.size(); }
+    [[nodiscard]] Handler& handler() noexcept { return handler_; }
+
+private:
+    struct served_connection {
+        std::shared_ptr<frame_stream> stream_;
+        std::size_t in_flight_ = 0;
+    };
+    using shared_connection = std::shared_ptr<served_connection>;
+
+    // Counts a question for as long as its coroutine runs.
+    class counted_question {
+    public:
+        counted_question(std::shared_ptr<peer_server> owner, shared_connection connection)
+            : owner_{std::move(owner)}, connection_{std::move(connection)} {
+            ++owner_->in_flight_;
+            ++connection_->in_flight_;
+        }
+        ~counted_question() {
+            --owner_->in_flight_;
+            --connection_->in_flight_;
+        }
+        counted_question(const counted_question&) = delete;
+        counted_question& operator=(const counted_question&) = delete;
+        counted_question(counted_question&&) = delete;
+        counted_question& operator=(counted_question&&) = delete;
+
+    private:
+        std::shared_ptr<peer_server> owner_;
+        shared_connection connection_;
+    };
+
+    static boost::asio::awaitable<void> accept_connections(std::shared_ptr<peer_server> self) {
+        while (self->listener_.is_open()) {
+            auto accepted = co_await self->listener_.accept();
+            if (!accepted) {
+                // Out of file descriptors, for example: a pause keeps the accept loop from spinning.
+                co_await http::sleep_for(accept_retry_pause);
+                continue;
+            }
+            if (self->draining_) {
+                continue;
+            }
+            auto stream = std::make_shared<frame_stream>(std::move(*accepted));
+            const auto connection = std::make_shared<served_connection>();
+            connection->stream_ = std::move(stream);
+            self->connections_.push_back(connection);
+            boost::asio::co_spawn(self->executor_, serve_connection(self, connection), boost::asio::detached);
+            boost::asio::co_spawn(self->executor_, close_when_silent(connection->stream_, self->limits_),
+                                  boost::asio::detached);
+        }
+    }
+
+    static boost::asio::awaitable<void> serve_connection(std::shared_ptr<peer_server> self,
+                                                         shared_connection connection) {
+        const auto stream = connection->stream_;
+        while (stream->is_open()) {
+            auto question = co_await stream->read();
+            if (!question) {
+                if (question.last_reason().kind() == base::error_kind::frame_invalid) {
+                    report_invalid_frame(question.last_reason());
+                }
+                break;
+            }
+            const auto failure = self->take(connection, *question);
+            if (failure) {
+                report_invalid_frame(*failure);
+                break;
+            }
+        }
+        stream->close();
+        self->connections_.remove(connection);
+    }
+
+    // A client with nothing to ask sends heartbeats; one that sends nothing at all is gone.
+    static boost::asio::awaitable<void> close_when_silent(std::shared_ptr<frame_stream> stream,
+                                                          peer_limits limits) {
+        while (stream->is_open()) {
+            const auto left = stream->last_received() + limits.server_idle_ - base::clock::now();
+            if (left.count() <= 0) {
+                stream->close();
+                co_return;
+            }
+            co_await http::sleep_for(left);
+        }
+    }
+
+    // Returns why the connection has to be closed, or nothing.
+    std::optional<base::error> take(const shared_connection& connection, const frame& question) {
+        switch (question.type()) {
+        case frame_type::heartbeat:
+            // One heartbeat that waits to be written is as good as many.
+            if (connection->stream_->unsent_bytes() == 0) {
+                connection->stream_->send(question);
+            }
+            return std::nullopt;
+        case frame_type::request:
+            return answer_question(
+                connection, question, read_request(question),
+                [](Handler& handler, base::request message) { return handler.forward(std::move(message)); });
+        case frame_type::suspicion_check:
+            return answer_question(connection, question, read_suspicion_check(question),
+                                   [](Handler& handler, suspicion_check check) {
+                                       return handler.check_suspicion(std::move(check));
+                                   });
+        case frame_type::configuration_fetch:
+            return answer_question(connection, question, read_configuration_fetch(question),
+                                   [](Handler& handler, configuration_fetch fetch) {
+                                       return handler.fetch_configuration(std::move(fetch));
+                                   });
+        default:
+            return base::error{base::error_kind::frame_invalid, "a client sent a frame that is no question"};
+        }
+    }
+
+    template <typename Message, typename Call>
+    std::optional<base::error> answer_question(const shared_connection& connection, const frame& question,
+                                               base::result<Message> message, Call call) {
+        if (!message) {
+            return message.last_reason();
+        }
+        if (draining_) {
+            refuse_question(connection, question, base::error_kind::shutting_down, "the daemon drains");
+        } else if (connection->in_flight_ >= limits_.most_in_flight_ ||
+                   connection->stream_->unsent_bytes() > limits_.most_queued_bytes_) {
+            refuse_question(connection, question, base::error_kind::overloaded,
+                            "too many questions on one connection between daemons");
+        } else {
+            boost::asio::co_spawn(
+                executor_,
+                run_question(this->shared_from_this(), connection, question.id(), std::move(*message), call),
+                boost::asio::detached);
+        }
+        return std::nullopt;
+    }
+
+    void refuse_question(const shared_connection& connection, const frame& question, base::error_kind kind,
+                         const char* reason) {
+        connection->stream_->send(refuse(question, base::error{kind, reason}));
+    }
+
+    template <typename Message, typename Call>
+    static boost::asio::awaitable<void> run_question(std::shared_ptr<peer_server> self,
+                                                     shared_connection connection, std::uint64_t id,
+                                                     Message message, Call call) {
+        const counted_question counted{self, connection};
+        std::optional<frame> reply;
+        try {
+            const auto answer = co_await call(self->handler_, std::move(message));
+            reply = reply_with(id, answer);
+        } catch (const std::exception& failure) {
+            reply = reply_with(id, answer_after_exception(failure.what()));
+        }
+        connection->stream_->send(*reply);
+    }
+
+    static constexpr base::clock::duration accept_retry_pause{20};
+
+    boost::asio::any_io_executor executor_;
+    http::listener listener_;
+    Handler handler_;
+    peer_limits limits_;
+    std::list<shared_connection> connections_;
+    std::size_t in_flight_ = 0;
+    bool draining_ = false;
+};
+
+} // namespace daemons
