Platform: Add the store's client and the configuration watcher

The publisher and the watchers talk to the platform's store. The client tells a change that was not applied (platform_unavailable, overloaded, too_large) from one whose answer was lost (answer_lost), and waits a jittered, bounded pause after failures. Backoff, watch progress and the meaning of responses are decisions apart from I/O.

--- /dev/null
+++ b/libraries/platform/listed_host.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace platform {
+
+/// Whether the platform keeps a host.
+enum class host_state : std::uint8_t { live, leaving };
+
+/// One entry of the platform's host list, which may lag behind reality.
+struct listed_host {
+    /// `address:port`.
+    std::string address_;
+    host_state state_ = host_state::live;
+
+    friend auto operator<=>(const listed_host&, const listed_host&) = default;
+};
+
+} // namespace platform
--- /dev/null
+++ b/libraries/platform/store_client.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/endpoint.hpp>
+#include <base/result.hpp>
+#include <http/client_connection.hpp>
+#include <platform/call_failure.hpp>
+#include <platform/key_value_store.hpp>
+#include <platform/lease_state.hpp>
+#include <platform/listed_host.hpp>
+#include <platform/put_result.hpp>
+#include <platform/reconnect_backoff.hpp>
+#include <platform/stored_value.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace platform {
+
+/// The client of the platform's store and host list.
+///
+/// Each call in progress uses a connection of its own; a few idle ones are kept. After a failure no call is
+/// sent before a jittered, bounded pause has passed: calls wait for it within their time limit.
+///
+/// Errors of every call: `platform_unavailable` (not sent, or a read without an answer), `overloaded` (the
+/// call limit; not applied), `too_large` and `invalid_request` (refused; not applied). Calls that change the
+/// store add `answer_lost`: sent, and perhaps applied.
+///
+/// Thread safety: used by one thread. Lifetime: outlives its calls.
+class store_client {
+public:
+    /// Chooses the seed of the jitter itself.
+    store_client(base::endpoint store, base::clock::duration call_timeout);
+    /// `seed` makes the jitter repeatable; `limits` bound the pauses after failures.
+    store_client(base::endpoint store, base::clock::duration call_timeout, std::uint64_t seed,
+                 backoff_limits limits);
+
+    store_client(const store_client&) = delete;
+    store_client& operator=(const store_client&) = delete;
+    store_client(store_client&&) = delete;
+    store_client& operator=(store_client&&) = delete;
+    ~store_client() = default;
+
+    /// Returns a key's value.
+    [[nodiscard]] boost::asio::awaitable<base::result<stored_value>> get(std::string key);
+
+    /// Puts a value if the key's revision is `expected_revision` (0: the key is absent).
+    [[nodiscard]] boost::asio::awaitable<base::result<put_result>> put_if(std::string key, std::string value,
+                                                                          std::uint64_t expected_revision);
+
+    /// As `put_if`; the key is removed when the lease ends.
+    [[nodiscard]] boost::asio::awaitable<base::result<put_result>>
+    put_if_with_lease(std::string key, std::string value, std::uint64_t expected_revision,
+                      std::uint64_t lease);
+
+    /// Returns the value when its revision differs from `after_revision`, or the present one after `wait`.
+    [[nodiscard]] boost::asio::awaitable<base::result<stored_value>>
+    watch(std::string key, std::uint64_t after_revision, base::clock::duration wait);
+
+    /// Returns the platform's host list.
+    [[nodiscard]] boost::asio::awaitable<base::result<std::vector<listed_host>>> hosts();
+
+    /// Takes a new lease.
+    [[nodiscard]] boost::asio::awaitable<base::result<lease_state>> lease(base::clock::duration length);
+
+    /// Extends a lease; `held_` tells whether it had not ended before.
+    [[nodiscard]] boost::asio::awaitable<base::result<lease_state>> renew(std::uint64_t lease);
+
+private:
+    /// One call: where it goes, what it carries and how long its answer may take.
+    struct store_call {
+        std::string path_;
+        std::string body_;
+        call_effect effect_ = call_effect::reads;
+        base::clock::duration timeout_{0};
+    };
+
+    [[nodiscard]] boost::asio::awaitable<base::result<std::string>> call(store_call request);
+    [[nodiscard]] boost::asio::awaitable<std::optional<base::error>> wait_for_turn();
+    [[nodiscard]] boost::asio::awaitable<base::result<http::client_connection>> take_connection();
+    void keep_connection(http::client_connection connection);
+    void note_success();
+    void note_failure(const base::error& reason, base::clock::duration asked);
+
+    base::endpoint store_;
+    base::clock::duration call_timeout_;
+    std::mt19937_64 random_;
+    reconnect_backoff backoff_;
+    base::clock::time_point not_before_;
+    std::vector<http::client_connection> idle_;
+};
+
+static_assert(key_value_store<store_client>);
+
+} // namespace platform
--- /dev/null
+++ b/libraries/platform/watch_progress.cpp
@@ -0,0 +1,33 @@
+#include <platform/watch_progress.hpp>
+
+namespace platform {
+
+watch_news watch_progress::news_in(const base::result<stored_value>& answer) const noexcept {
+    if (!answer) {
+        return watch_news::failed;
+    }
+    if (!answer->found_) {
+        return watch_news::absent;
+    }
+    if (answer->revision_ == revision_) {
+        return watch_news::none;
+    }
+    return answer->revision_ > revision_ ? watch_news::newer : watch_news::older;
+}
+
+watch_progress watch_progress::after(const base::result<stored_value>& answer, base::clock::duration elapsed,
+                                     base::clock::duration wait, std::uint64_t random) const noexcept {
+    auto next = *this;
+    const auto news = news_in(answer);
+    if (news == watch_news::newer) {
+        next.revision_ = answer->revision_;
+        next.backoff_ = backoff_.after_success();
+    } else if (news == watch_news::failed || elapsed < wait / 2) {
+        next.backoff_ = backoff_.after_failure(random);
+    } else {
+        next.backoff_ = backoff_.after_success();
+    }
+    return next;
+}
+
+} // namespace platform
