Proxy: Run a daemon with control plane, workers, entry and operator port

Requests enter at any worker and hop to the one that owns their group. A request is sent again after a lost home only when that is harmless.

--- a/libraries/proxy/admission_lane.hpp
+++ b/libraries/proxy/admission_lane.hpp
@@ -166,7 +166,8 @@
 
     void start_expiry() {
         if (!std::exchange(expiry_runs_, true)) {
-            boost::asio::co_spawn(executor_, expire_while_queued(this->shared_from_this()), boost::asio::detached);
+            boost::asio::co_spawn(executor_, expire_while_queued(this->shared_from_this()),
+                                  boost::asio::detached);
         }
     }
 
--- a/libraries/proxy/daemon_report_codec.cpp
+++ b/libraries/proxy/daemon_report_codec.cpp
@@ -57,6 +57,8 @@
     return object;
 }
 
+json::object encode(const group_report& group);
+
 template <typename List>
 json::array encode_all(const List& list) {
     json::array array;
--- a/libraries/proxy/daemon_state.hpp
+++ b/libraries/proxy/daemon_state.hpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <cstdint>
 #include <string>
+#include <utility>
 
 namespace proxy {
 
@@ -20,24 +21,40 @@
     draining,
 };
 
-/// What the threads of one daemon share. Readers on the path of a request use the snapshots and atomics only.
-struct daemon_state {
-    explicit daemon_state(operators::daemon_settings settings, std::string run)
-        : settings_{std::move(settings)}, run_{std::move(run)} {}
+/// What the threads of one daemon share. On the path of a request they use the snapshots and atomics only.
+/// Thread safety: members say so themselves; the references are set before the first thread starts.
+class daemon_state {
+public:
+    /// `run` names this run of the daemon among all runs of all daemons.
+    daemon_state(operators::daemon_settings settings, std::string run,
+                 const base::snapshot<operators::configuration>& configuration,
+                 const base::snapshot<daemons::member_list>& members)
+        : settings_{std::move(settings)}, run_{std::move(run)}, configuration_{configuration}, members_{
+                                                                                                   members} {}
+
+    [[nodiscard]] const operators::daemon_settings& settings() const noexcept { return settings_; }
+    [[nodiscard]] const std::string& run() const noexcept { return run_; }
+    /// Returns the configuration in force.
+    [[nodiscard]] const base::snapshot<operators::configuration>& configuration() const noexcept {
+        return configuration_;
+    }
+    /// Returns the members as this daemon knows them.
+    [[nodiscard]] const base::snapshot<daemons::member_list>& members() const noexcept { return members_; }
+
+    [[nodiscard]] daemon_phase phase() const noexcept { return phase_.load(std::memory_order_acquire); }
+    void set_phase(daemon_phase phase) noexcept { phase_.store(phase, std::memory_order_release); }
 
     /// Returns the next number for a request, unique in this run.
     [[nodiscard]] std::uint64_t next_request_number() noexcept {
         return last_request_number_.fetch_add(1, std::memory_order_relaxed) + 1;
     }
 
-    const operators::daemon_settings settings_;
-    /// Names this run of the daemon among all runs of all daemons.
-    const std::string run_;
-    base::snapshot<operators::configuration> configuration_{operators::configuration{}};
-    base::snapshot<daemons::member_list> members_{daemons::member_list{}};
-    std::atomic<daemon_phase> phase_{daemon_phase::starting};
-
 private:
+    operators::daemon_settings settings_;
+    std::string run_;
+    const base::snapshot<operators::configuration>& configuration_;
+    const base::snapshot<daemons::member_list>& members_;
+    std::atomic<daemon_phase> phase_{daemon_phase::starting};
     std::atomic<std::uint64_t> last_request_number_{0};
 };
 
--- /dev/null
+++ b/libraries/proxy/database_probe.cpp
@@ -0,0 +1,25 @@
+#include <proxy/database_probe.hpp>
+
+#include <backends/database_client.hpp>
+
+namespace proxy {
+
+namespace {
+
+// Both together stay below the time that the asking monitor waits.
+constexpr base::clock::duration connect_limit{200};
+constexpr base::clock::duration status_limit{200};
+
+} // namespace
+
+boost::asio::awaitable<daemons::reachability> probe_database(base::endpoint database) {
+    auto client = co_await backends::database_client::connect(database, connect_limit);
+    if (!client) {
+        co_return daemons::reachability::unreachable;
+    }
+    const auto status = co_await client->status(std::nullopt, status_limit);
+    client->close();
+    co_return status ? daemons::reachability::reachable : daemons::reachability::unreachable;
+}
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/entry.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <base/answer.hpp>
+#include <base/clock.hpp>
+#include <base/event.hpp>
+#include <base/request.hpp>
+#include <daemons/home_choice.hpp>
+#include <daemons/peer_client.hpp>
+#include <http/sleep.hpp>
+#include <proxy/daemon_state.hpp>
+#include <proxy/entry_decision.hpp>
+#include <proxy/events.hpp>
+#include <proxy/routing.hpp>
+#include <proxy/transaction_handle.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <algorithm>
+#include <concepts>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace proxy {
+
+/// Serves requests of groups whose home is this daemon.
+template <typename Homes>
+concept local_homes = requires(Homes& homes, routed_request routed) {
+    { homes.execute(std::move(routed)) } -> std::same_as<boost::asio::awaitable<base::answer>>;
+};
+
+/// Asks other daemons to serve requests.
+template <typename Forwarder>
+concept request_forwarder = requires(Forwarder& forwarder, base::endpoint peer, base::request request,
+                                     base::clock::duration timeout) {
+    {
+        forwarder.forward(peer, request, timeout)
+        } -> std::same_as<boost::asio::awaitable<base::result<base::answer>>>;
+};
+
+/// The entry of requests at one thread of a daemon: finds the home of the group and has it serve the request.
+///
+/// Thread safety: used by one thread only; reads what the threads share through snapshots. Lifetime: outlives
+/// its requests.
+template <local_homes Homes, request_forwarder Forwarder, base::time_source Clock>
+class entry {
+public:
+    /// Precondition: the arguments outlive the entry.
+    entry(daemon_state& state, Homes& homes, Forwarder& forwarder, const Clock& clock)
+        : state_{state}, homes_{homes}, forwarder_{forwarder}, clock_{clock} {}
+
+    /// Serves a request of a caller to its end. Satisfies `callers::request_service`.
+    [[nodiscard]] boost::asio::awaitable<base::answer> answer(base::request request) {
+        const auto configuration = state_.configuration().get();
+        const auto numbered =
+            request.with([this](base::request_fields& fields) { fields.id_ = state_.next_request_number(); });
+        const auto routed = route(*configuration, numbered);
+        if (!routed) {
+            co_return base::not_run(routed.last_reason());
+        }
+        const auto deadline = clock_.now() + (*routed)->request_->time_left_;
+        while (true) {
+            const auto home = find_home(*routed);
+            if (!home) {
+                co_return base::not_run(base::error{base::error_kind::peer_unavailable,
+                                                    "no live daemon can serve the database group"});
+            }
+            const auto timed = with_time_left(*routed, deadline);
+            if ((*home)->name_ == state_.settings()->name_) {
+                co_return co_await homes_.execute(timed);
+            }
+            auto answered = co_await forward(*home, timed, deadline);
+            if (std::holds_alternative<base::answer>(answered)) {
+                co_return std::get<base::answer>(std::move(answered));
+            }
+            co_await http::sleep_for(pause_before_next_home);
+        }
+    }
+
+private:
+    [[nodiscard]] base::clock::duration time_until(base::clock::time_point deadline) const {
+        return std::max(deadline - clock_.now(), base::clock::duration{0});
+    }
+
+    [[nodiscard]] routed_request with_time_left(const routed_request& routed,
+                                                base::clock::time_point deadline) const {
+        return routed.with([&](routed_request_fields& fields) {
+            fields.request_ = fields.request_.with(
+                [&](base::request_fields& request) { request.time_left_ = time_until(deadline); });
+        });
+    }
+
+    // A step of a transaction goes to the daemon that holds its connection, whoever the home is by now.
+    [[nodiscard]] std::optional<daemons::member> find_home(const routed_request& routed) const {
+        const auto members = state_.members().get();
+        const auto& request = routed->request_;
+        if (!request->transaction_.empty()) {
+            const auto handle = transaction_handle::parse(request->transaction_);
+            const auto* holder = handle ? members->find(handle->daemon()) : nullptr;
+            return holder == nullptr ? std::nullopt : std::optional{*holder};
+        }
+        const auto choice =
+            daemons::choose_home(*members, routed->service_->region_, routed->service_->name_);
+        return choice ? std::optional{choice->home_} : std::nullopt;
+    }
+
+    boost::asio::awaitable<entry_action> forward(daemons::member home, routed_request routed,
+                                                 base::clock::time_point deadline) {
+        const auto& request = routed->request_;
+        // The home answers by the deadline; the margin lets that answer arrive instead of being given up.
+        auto answered =
+            co_await forwarder_.forward(home->address_, request, request->time_left_ + answer_margin);
+        if (answered) {
+            co_return entry_action{*std::move(answered)};
+        }
+        const auto& reason = answered.last_reason();
+        base::log_event(
+            events::home_lost,
+            {{"group", request->service_}, {"home", home->name_}, {"reason", reason.to_string()}});
+        const auto failure =
+            daemons::may_have_run(reason) ? forward_failure::answer_lost : forward_failure::not_sent;
+        co_return decide_after_lost_home(request, failure, reason, time_until(deadline));
+    }
+
+    static constexpr base::clock::duration answer_margin{100};
+    /// Lets the member list change before the same home is tried again.
+    static constexpr base::clock::duration pause_before_next_home{50};
+
+    daemon_state& state_;
+    Homes& homes_;
+    Forwarder& forwarder_;
+    const Clock& clock_;
+};
+
+} // namespace proxy
--- a/libraries/proxy/group_home.hpp
+++ b/libraries/proxy/group_home.hpp
@@ -64,15 +64,18 @@
 public:
     group_home(boost::asio::any_io_executor executor, operators::service_declaration declaration,
                home_identity identity, Connector connector, const Clock& clock, Check check)
-        : executor_{std::move(executor)}, declaration_{std::move(declaration)}, identity_{std::move(identity)},
+        : executor_{std::move(executor)}, declaration_{std::move(declaration)}, identity_{std::move(
+                                                                                    identity)},
           connector_{std::move(connector)}, clock_{clock}, random_{identity_.random_seed_},
-          monitor_{std::make_shared<monitor>(executor_, monitor_settings(), connector_, clock_, std::move(check))},
+          monitor_{
+              std::make_shared<monitor>(executor_, monitor_settings(), connector_, clock_, std::move(check))},
           primary_lane_{std::make_shared<lane>(executor_, declaration_, clock_)},
           replica_lane_{std::make_shared<lane>(executor_, declaration_, clock_)} {
         for (const auto& database : declaration_->databases_) {
             pools_.emplace(database.name_,
                            std::make_unique<pool>(executor_, opener{connector_, database.address_},
-                                                  backends::connection_pool::limits_of(declaration_), random_()));
+                                                  backends::connection_pool::limits_of(declaration_),
+                                                  database.name_, random_()));
         }
     }
 
@@ -245,11 +248,12 @@
             .has_key_ = request->idempotency_key_.has_value(),
             .earlier_ = earlier,
             // A request that the queue shed is not offered again: load that was refused must stay refused.
-            .retry_ = last->shed_ ? backends::retry_permission::exhausted : backends::retry_permission::allowed,
+            .retry_ =
+                last->shed_ ? backends::retry_permission::exhausted : backends::retry_permission::allowed,
             .time_left_ = time_until(deadline)};
         const auto decision = backends::decide_outcome(ended);
-        const bool costs_budget = decision.next_ == backends::next_step::retry &&
-                                  last->end_ != backends::attempt_end::not_sent;
+        const bool costs_budget =
+            decision.next_ == backends::next_step::retry && last->end_ != backends::attempt_end::not_sent;
         if (!costs_budget || budget_.take_retry(clock_.now())) {
             return decision;
         }
@@ -282,7 +286,8 @@
         if (request->session_ == base::session_state::with_token && request->token_.term() > primary->term_) {
             // The session has written through a newer primary than this home knows of.
             monitor_->report_refusal();
-            co_return failed_attempt(backends::attempt_end::not_sent, "the home does not know the newest term yet");
+            co_return failed_attempt(backends::attempt_end::not_sent,
+                                     "the home does not know the newest term yet");
         }
         auto leased = co_await pools_.at(primary->database_)->acquire(deadline);
         if (!leased) {
@@ -301,7 +306,8 @@
     }
 
     // Takes the answer of a primary through the gate.
-    boost::asio::awaitable<attempt> finish_on_primary(routed_request routed, backends::primary_location primary,
+    boost::asio::awaitable<attempt> finish_on_primary(routed_request routed,
+                                                      backends::primary_location primary,
                                                       base::result<backends::execute_answer> sent,
                                                       time_point deadline) {
         if (!sent) {
@@ -369,7 +375,8 @@
     boost::asio::awaitable<attempt> settle_outcome(routed_request routed, time_point deadline) {
         auto admission = co_await primary_lane_->admit(item_of(routed, deadline));
         if (!admission.ticket_) {
-            co_return failed_attempt(backends::attempt_end::settle_failed, admission.refusal_->reason_.message());
+            co_return failed_attempt(backends::attempt_end::settle_failed,
+                                     admission.refusal_->reason_.message());
         }
         const auto primary = co_await monitor_->wait_for_primary(deadline);
         if (!primary) {
@@ -380,8 +387,10 @@
             co_return failed_attempt(backends::attempt_end::settle_failed, leased.last_reason().message());
         }
         const auto& request = routed->request_;
-        const backends::settle_request question{backends::settle_request_fields{
-            .term_ = primary->term_, .key_ = recorded_key_of(request), .fingerprint_ = settled_fingerprint(request)}};
+        const backends::settle_request question{
+            backends::settle_request_fields{.term_ = primary->term_,
+                                            .key_ = recorded_key_of(request),
+                                            .fingerprint_ = settled_fingerprint(request)}};
         const running_registration registered{running_, {primary->database_, primary->term_, &**leased}};
         const auto answer = co_await (*leased)->settle(question, time_until(deadline));
         if (!answer) {
@@ -400,8 +409,8 @@
         const auto end = settled->outcome_ == backends::settled_outcome::done
                              ? backends::attempt_end::settled_done
                              : backends::attempt_end::settled_cancelled;
-        attempt passed = co_await pass_gate(settled->position_, settled->results_, base::database_role::primary,
-                                            end, deadline);
+        attempt passed = co_await pass_gate(settled->position_, settled->results_,
+                                            base::database_role::primary, end, deadline);
         if (passed->end_ != end) {
             co_return failed_attempt(backends::attempt_end::settle_failed, passed->reason_);
         }
@@ -421,9 +430,8 @@
         if (request->session_ == base::session_state::without_token || routed->staleness_ == duration{0}) {
             return std::nullopt;
         }
-        return backends::replica_need_fields{.term_ = monitor_->view().term(),
-                                             .minimum_ = request->token_,
-                                             .staleness_ = routed->staleness_};
+        return backends::replica_need_fields{
+            .term_ = monitor_->view().term(), .minimum_ = request->token_, .staleness_ = routed->staleness_};
     }
 
     // Chooses a database for a read as things stand now.
@@ -441,15 +449,15 @@
     [[nodiscard]] backends::replica_candidate candidate_of(const backends::known_database& database) const {
         const auto now = clock_.now();
         const auto last = (*database.status_)->last_;
-        return backends::replica_candidate_fields{
-            .name_ = database.name_,
-            .last_ = last,
-            .lag_ = staleness_.oldest_age(last, now),
-            .measured_at_ = now,
-            .in_use_ = statements_on(database.name_),
-            .slots_ = declaration_->slots_,
-            .is_reachable_ = database.reachability_ == backends::reachability::reachable,
-            .is_leaving_ = database.is_leaving()};
+        return backends::replica_candidate_fields{.name_ = database.name_,
+                                                  .last_ = last,
+                                                  .lag_ = staleness_.oldest_age(last, now),
+                                                  .measured_at_ = now,
+                                                  .in_use_ = statements_on(database.name_),
+                                                  .slots_ = declaration_->slots_,
+                                                  .is_reachable_ = database.reachability_ ==
+                                                                   backends::reachability::reachable,
+                                                  .is_leaving_ = database.is_leaving()};
     }
 
     [[nodiscard]] std::uint32_t statements_on(const std::string& database) const {
@@ -460,7 +468,8 @@
 
     // Returns the replica that should serve the read, or nothing when the primary should. Holds no slot while
     // it waits for a replica to catch up.
-    boost::asio::awaitable<std::optional<std::string>> choose_target(routed_request routed, time_point deadline) {
+    boost::asio::awaitable<std::optional<std::string>> choose_target(routed_request routed,
+                                                                     time_point deadline) {
         const auto wait_until = std::min(deadline, clock_.now() + longest_replica_wait);
         while (!stopping_) {
             const auto need = replica_need_of(routed);
@@ -503,7 +512,8 @@
         const auto statements = statements_of(routed->request_, (*need)->term_).with([&](auto& fields) {
             fields.minimum_ = minimum;
         });
-        const auto sent = co_await send(*leased, database, backends::statement_path::execute, statements, deadline);
+        const auto sent =
+            co_await send(*leased, database, backends::statement_path::execute, statements, deadline);
         if (!sent) {
             monitor_->report_suspicion(database);
             co_return failed_attempt(backends::attempt_end::answer_lost, sent.last_reason().message());
@@ -529,13 +539,14 @@
         if (!primary) {
             co_return base::not_run(primary.last_reason());
         }
-        auto leased = co_await pools_.at(primary->database_)->acquire(deadline, backends::lease_use::transaction);
+        auto leased =
+            co_await pools_.at(primary->database_)->acquire(deadline, backends::lease_use::transaction);
         if (!leased) {
             co_return base::not_run(leased.last_reason());
         }
         const auto statements = statements_of(routed->request_, primary->term_);
-        const auto sent = co_await send(*leased, primary->database_, backends::statement_path::begin, statements,
-                                        deadline);
+        const auto sent =
+            co_await send(*leased, primary->database_, backends::statement_path::begin, statements, deadline);
         if (!sent || (*sent)->refusal_) {
             if (sent) {
                 note_refusal(*(*sent)->refusal_);
@@ -562,8 +573,8 @@
         const auto handle = transaction_handle::parse(request->transaction_);
         const auto found = handle ? transactions_.find(handle->number()) : transactions_.end();
         if (found == transactions_.end() || found->second.tenant_ != request->tenant_) {
-            co_return base::not_run(
-                base::error{base::error_kind::unknown_transaction, "no such transaction is open at its home"});
+            co_return base::not_run(base::error{base::error_kind::unknown_transaction,
+                                                "no such transaction is open at its home"});
         }
         if (found->second.busy_) {
             co_return base::not_run(base::error{base::error_kind::invalid_request,
@@ -619,7 +630,8 @@
             // With or without an answer: the connection is closed or rolled back.
             co_return base::answer{base::answer_fields{.outcome_ = base::outcome::done}};
         }
-        const backends::primary_location primary{.database_ = taken.database_, .address_ = {}, .term_ = taken.term_};
+        const backends::primary_location primary{
+            .database_ = taken.database_, .address_ = {}, .term_ = taken.term_};
         attempt last = co_await finish_on_primary(routed, primary, std::move(sent), deadline);
         auto decision = decide(routed, last, backends::earlier_attempts::none_ran, deadline);
         while (decision.next_ == backends::next_step::settle) {
@@ -650,14 +662,16 @@
 
     // --- parts
 
-    boost::asio::awaitable<base::result<backends::execute_answer>>
-    send(guard& leased, std::string database, backends::statement_path path, backends::execute_request statements,
-         time_point deadline) {
+    boost::asio::awaitable<base::result<backends::execute_answer>> send(guard& leased, std::string database,
+                                                                        backends::statement_path path,
+                                                                        backends::execute_request statements,
+                                                                        time_point deadline) {
         const running_registration registered{running_, {std::move(database), statements->term_, &*leased}};
         co_return co_await leased->run(path, statements, time_until(deadline));
     }
 
-    [[nodiscard]] backends::execute_request statements_of(const base::request& request, std::uint64_t term) const {
+    [[nodiscard]] backends::execute_request statements_of(const base::request& request,
+                                                          std::uint64_t term) const {
         backends::execute_request_fields fields{
             .term_ = term, .access_ = request->access_, .statements_ = request->statements_};
         if (request->idempotency_key_) {
@@ -686,8 +700,8 @@
     // Tells the session where it stands: a write or a read without a token moves it on, other reads do not.
     [[nodiscard]] static base::answer with_session(const base::answer& answer, const base::request& request) {
         const bool in_session = request->session_ != base::session_state::none;
-        const bool moves = request->access_ != base::access::read ||
-                           request->session_ == base::session_state::without_token;
+        const bool moves =
+            request->access_ != base::access::read || request->session_ == base::session_state::without_token;
         return answer.with([&](base::answer_fields& fields) {
             if (!in_session && request->access_ == base::access::read) {
                 fields.position_.reset();
@@ -713,7 +727,8 @@
     // Full jitter, so that requests that failed together do not come back together.
     [[nodiscard]] duration retry_pause(time_point deadline) {
         const auto longest = std::min(longest_retry_pause, time_until(deadline) / 4);
-        return duration{1 + static_cast<std::int64_t>(random_() % (static_cast<std::uint64_t>(longest.count()) + 1))};
+        return duration{
+            1 + static_cast<std::int64_t>(random_() % (static_cast<std::uint64_t>(longest.count()) + 1))};
     }
 
     [[nodiscard]] database_report report_of(const backends::known_database& database) const {
@@ -739,10 +754,11 @@
         for (std::size_t index = 0; index < primary->ranks_.size(); ++index) {
             const auto& one = primary->ranks_[index];
             const auto& other = replica->ranks_[index];
-            described.ranks_.push_back({.name_ = one.rank_,
-                                        .queued_ = one.queued_ + other.queued_,
-                                        .running_ = one.running_ + other.running_,
-                                        .expected_wait_ = std::max(one.expected_wait_, other.expected_wait_)});
+            described.ranks_.push_back(
+                {.name_ = one.rank_,
+                 .queued_ = one.queued_ + other.queued_,
+                 .running_ = one.running_ + other.running_,
+                 .expected_wait_ = std::max(one.expected_wait_, other.expected_wait_)});
         }
     }
 
@@ -775,8 +791,8 @@
         replica_lane_->set_slots(replicas * declaration_->slots_);
     }
 
-    // Keeps the history by which the age of a replica's data is judged. The time is the latest at which both the
-    // primary was asked for its position and a majority was asked to confirm the term.
+    // Keeps the history by which the age of a replica's data is judged. The time is the latest at which both
+    // the primary was asked for its position and a majority was asked to confirm the term.
     void note_primary_position() {
         const auto& view = monitor_->view();
         const auto primary = view.primary();
--- /dev/null
+++ b/libraries/proxy/suspicion_asker.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <backends/failure_detector.hpp>
+#include <base/clock.hpp>
+#include <daemons/home_choice.hpp>
+#include <daemons/peer_client.hpp>
+#include <operators/service_declaration.hpp>
+#include <proxy/daemon_state.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace proxy {
+
+/// Asks a daemon in another failure domain whether it reaches a database. Satisfies
+/// `backends::suspicion_check`. Thread safety: used by one thread only. Lifetime: the references outlive it.
+class suspicion_asker {
+public:
+    suspicion_asker(daemon_state& state, daemons::peer_client& peers, std::string group)
+        : state_{&state}, peers_{&peers}, group_{std::move(group)} {}
+
+    /// Returns what the other daemon found; `no_daemon` when none could be asked.
+    [[nodiscard]] boost::asio::awaitable<backends::suspicion_result>
+    operator()(operators::database_declaration database);
+
+private:
+    [[nodiscard]] std::optional<daemons::member> choose_daemon() const;
+
+    daemon_state* state_;
+    daemons::peer_client* peers_;
+    std::string group_;
+};
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/worker.hpp
@@ -0,0 +1,286 @@
+#pragma once
+
+#include <backends/database_client.hpp>
+#include <backends/request_queue.hpp>
+#include <base/answer.hpp>
+#include <base/clock.hpp>
+#include <base/event.hpp>
+#include <base/metric_registry.hpp>
+#include <callers/front_end.hpp>
+#include <daemons/peer_client.hpp>
+#include <daemons/peer_server.hpp>
+#include <http/server.hpp>
+#include <proxy/control_plane.hpp>
+#include <proxy/daemon_state.hpp>
+#include <proxy/database_probe.hpp>
+#include <proxy/entry.hpp>
+#include <proxy/events.hpp>
+#include <proxy/group_home.hpp>
+#include <proxy/metered_service.hpp>
+#include <proxy/routing.hpp>
+#include <proxy/suspicion_asker.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace proxy {
+
+/// One thread of a daemon: its listeners, its connections to other daemons, and the homes that it owns.
+///
+/// Requests enter at any worker and hop to the one that owns their group, so that queue, pool and view of a
+/// group are touched by one thread only. Thread safety: `execute` and `context` from any thread, the rest
+/// from the worker's own thread. Lifetime: all workers live until every thread has ended.
+template <backends::request_queue Queue>
+class worker {
+public:
+    /// `peer_threads` are all workers of the daemon, this one included, in the same order everywhere.
+    worker(daemon_state& state, std::vector<std::unique_ptr<worker>>& peer_threads,
+           const control_plane& control)
+        : state_{state}, workers_{peer_threads}, control_{control}, random_{std::random_device{}()},
+          peers_{context_.get_executor(), daemons::peer_limits{}, random_()}, homes_gate_{*this},
+          entry_{state_, homes_gate_, peers_, clock_}, metered_{entry_, metrics_, clock_} {}
+
+    [[nodiscard]] boost::asio::io_context& context() noexcept { return context_; }
+
+    /// Opens the listeners. Precondition: before the thread starts. Errors: `settings_invalid`.
+    [[nodiscard]] std::optional<base::error> listen(std::shared_ptr<const callers::token_signer> signer,
+                                                    http::tls_context tls) {
+        const auto& settings = state_.settings();
+        auto caller_socket = http::listener::open(context_.get_executor(), settings->caller_address_);
+        if (!caller_socket) {
+            return caller_socket.last_reason();
+        }
+        auto peer_socket = http::listener::open(context_.get_executor(), settings->peer_address_);
+        if (!peer_socket) {
+            return peer_socket.last_reason();
+        }
+        const http::limits bounds{.header_bytes_ = settings->header_bytes_,
+                                  .body_bytes_ = settings->body_bytes_};
+        const auto share = std::max<std::size_t>(settings->most_connections_ / settings->threads_, 1);
+        caller_server_ = std::make_shared<caller_server>(context_.get_executor(), std::move(*caller_socket),
+                                                         caller_handler{metered_, std::move(signer)}, bounds,
+                                                         std::move(tls), share);
+        peer_server_ = std::make_shared<peer_server>(context_.get_executor(), std::move(*peer_socket),
+                                                     peer_questions{*this}, daemons::peer_limits{});
+        return std::nullopt;
+    }
+
+    /// Starts to serve other daemons, and to open and close homes as the members change.
+    void start() {
+        peer_server_->start();
+        boost::asio::co_spawn(context_, keep_homes(), boost::asio::detached);
+    }
+
+    /// Starts to serve callers.
+    void start_callers() { caller_server_->start(); }
+
+    /// Serves a request at its home here, whichever thread owns the group.
+    [[nodiscard]] boost::asio::awaitable<base::answer> execute(routed_request routed) {
+        auto& owner = owner_of(routed->service_->name_);
+        if (&owner == this) {
+            co_return co_await execute_here(std::move(routed));
+        }
+        co_return co_await boost::asio::co_spawn(owner.context_, owner.execute_here(std::move(routed)),
+                                                 boost::asio::use_awaitable);
+    }
+
+    /// Stops taking callers and tells other daemons to ask elsewhere.
+    void drain_callers() { caller_server_->drain(); }
+    void drain_peers() { peer_server_->drain(); }
+
+    /// Returns how much unfinished work there is: answers to callers and peers, and open transactions.
+    [[nodiscard]] std::size_t unfinished_work() const {
+        std::size_t unfinished = caller_server_->busy_connections() + peer_server_->questions_in_flight();
+        for (const auto& [group, home] : homes_) {
+            unfinished += home->is_idle() ? 0 : 1;
+        }
+        return unfinished;
+    }
+
+    /// Closes everything at once; the thread ends when its coroutines have ended.
+    void close() {
+        stopping_ = true;
+        caller_server_->close();
+        peer_server_->close();
+        peers_.close();
+        for (auto& [group, home] : homes_) {
+            home->stop();
+        }
+        homes_.clear();
+    }
+
+    /// Returns what the homes on this thread know.
+    [[nodiscard]] std::vector<group_report> report() const {
+        std::vector<group_report> reports;
+        reports.reserve(homes_.size());
+        for (const auto& [group, home] : homes_) {
+            reports.push_back(home->report());
+        }
+        return reports;
+    }
+
+    /// Returns the latencies that this thread has measured.
+    [[nodiscard]] const base::metric_registry& metrics() const noexcept { return metrics_; }
+
+private:
+    using home = group_home<Queue, backends::database_client_connector, base::clock, suspicion_asker>;
+
+    /// Serves requests of this daemon's own groups.
+    struct homes_gate {
+        worker& owner_;
+        boost::asio::awaitable<base::answer> execute(routed_request routed) {
+            return owner_.execute(std::move(routed));
+        }
+    };
+
+    using daemon_entry = entry<homes_gate, daemons::peer_client, base::clock>;
+    using metered_entry = metered_service<daemon_entry, base::clock>;
+    using caller_handler = callers::front_end<metered_entry>;
+    using caller_server = http::server<caller_handler>;
+
+    /// Answers the questions of other daemons.
+    struct peer_questions {
+        worker& owner_;
+
+        boost::asio::awaitable<base::answer> forward(base::request request) {
+            const auto configuration = owner_.state_.configuration().get();
+            const auto routed = route(*configuration, request);
+            if (!routed) {
+                co_return base::not_run(routed.last_reason());
+            }
+            co_return co_await owner_.execute(*routed);
+        }
+
+        boost::asio::awaitable<daemons::reachability> check_suspicion(daemons::suspicion_check question) {
+            return probe_database(question->database_);
+        }
+
+        boost::asio::awaitable<daemons::configuration_offer>
+        fetch_configuration(daemons::configuration_fetch question) {
+            co_return owner_.control_.offer(question);
+        }
+    };
+
+    using peer_server = daemons::peer_server<peer_questions>;
+
+    [[nodiscard]] worker& owner_of(const std::string& group) {
+        return *workers_[std::hash<std::string>{}(group) % workers_.size()];
+    }
+
+    boost::asio::awaitable<base::answer> execute_here(routed_request routed) {
+        const auto serving = open_home(routed->service_);
+        co_return co_await serving->execute(std::move(routed));
+    }
+
+    // Returns the home of a group, opened if necessary: a request that was sent here by a daemon with another
+    // list of members is served all the same. A changed declaration gets a new home; the old one finishes.
+    std::shared_ptr<home> open_home(const operators::service_declaration& declaration) {
+        const auto& group = declaration->name_;
+        const auto found = homes_.find(group);
+        if (found != homes_.end() && found->second->declaration() == declaration) {
+            return found->second;
+        }
+        if (found != homes_.end()) {
+            retired_.push_back(found->second);
+            homes_.erase(found);
+        }
+        base::log_event(events::home_opened, {{"group", group}});
+        const home_identity identity{.daemon_ = state_.settings()->name_,
+                                     .proposer_ = state_.run() + "/" + std::to_string(++opened_homes_) + "/" +
+                                                  std::to_string(random_()),
+                                     .random_seed_ = random_()};
+        auto opened = std::make_shared<home>(context_.get_executor(), declaration, identity,
+                                             backends::database_client_connector{}, clock_,
+                                             suspicion_asker{state_, peers_, group});
+        opened->start();
+        homes_.emplace(group, opened);
+        return opened;
+    }
+
+    boost::asio::awaitable<void> keep_homes() {
+        while (!stopping_) {
+            open_own_homes();
+            close_foreign_homes();
+            stop_retired_homes();
+            co_await http::sleep_for(homes_period);
+        }
+    }
+
+    [[nodiscard]] bool is_home_here(const operators::service_declaration& declaration) const {
+        const auto members = state_.members().get();
+        const auto choice = daemons::choose_home(*members, declaration->region_, declaration->name_);
+        return choice && choice->home_->name_ == state_.settings()->name_;
+    }
+
+    // A home watches its group also while nobody asks, so that a failed primary is replaced before the next
+    // request comes.
+    void open_own_homes() {
+        if (state_.phase() != daemon_phase::serving) {
+            return;
+        }
+        const auto configuration = state_.configuration().get();
+        for (const auto& declaration : (*configuration)->services_) {
+            if (&owner_of(declaration->name_) == this && is_home_here(declaration)) {
+                open_home(declaration);
+            }
+        }
+    }
+
+    void close_foreign_homes() {
+        const auto configuration = state_.configuration().get();
+        for (auto current = homes_.begin(); current != homes_.end();) {
+            const bool keeps = !current->second->is_idle() || (state_.phase() == daemon_phase::serving &&
+                                                               is_home_here(current->second->declaration()));
+            if (!keeps) {
+                retired_.push_back(current->second);
+            }
+            current = keeps ? std::next(current) : homes_.erase(current);
+        }
+    }
+
+    void stop_retired_homes() {
+        std::erase_if(retired_, [](const auto& retired) {
+            if (!retired->is_idle()) {
+                return false;
+            }
+            base::log_event(events::home_closed, {{"group", retired->declaration()->name_}});
+            retired->stop();
+            return true;
+        });
+    }
+
+    static constexpr base::clock::duration homes_period{200};
+
+    daemon_state& state_;
+    std::vector<std::unique_ptr<worker>>& workers_;
+    const control_plane& control_;
+    boost::asio::io_context context_{1};
+    base::clock clock_;
+    std::mt19937_64 random_;
+    daemons::peer_client peers_;
+    homes_gate homes_gate_;
+    daemon_entry entry_;
+    base::metric_registry metrics_;
+    metered_entry metered_;
+    std::shared_ptr<caller_server> caller_server_;
+    std::shared_ptr<peer_server> peer_server_;
+    std::map<std::string, std::shared_ptr<home>> homes_;
+    std::vector<std::shared_ptr<home>> retired_;
+    std::uint64_t opened_homes_ = 0;
+    bool stopping_ = false;
+};
+
+} // namespace proxy
