--- /dev/null
+++ b/libraries/daemons/configuration_spread_service.hpp
@@ -0,0 +1,171 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/endpoint.hpp>
+#include <base/result.hpp>
+#include <base/snapshot.hpp>
+#include <daemons/configuration_offer.hpp>
+#include <daemons/configuration_spread.hpp>
+#include <http/sleep.hpp>
+#include <operators/configuration.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <concepts>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace daemons {
+
+/// Encodes configurations; `operators` has the encoding.
+template <typename Codec>
+concept configuration_codec = requires(const Codec& codec, const operators::configuration& value,
+                                       std::string_view text) {
+    { codec.encode(value) } -> std::same_as<std::string>;
+    { codec.decode(text) } -> std::same_as<base::result<operators::configuration>>;
+};
+
+/// Fetches from peers; `peer_client` is one.
+template <typename Fetcher>
+concept configuration_fetcher = requires(Fetcher& fetcher, base::endpoint peer, std::uint64_t revision,
+                                         base::clock::duration timeout) {
+    {
+        fetcher.fetch_configuration(peer, revision, timeout)
+        } -> std::same_as<boost::asio::awaitable<base::result<configuration_offer>>>;
+};
+
+void report_accepted_configuration(std::uint64_t revision, std::string_view source);
+void report_unreadable_configuration(const base::endpoint& peer, const std::string& reason);
+void report_failed_fetch(const base::endpoint& peer, const base::error& reason);
+
+/// Keeps this daemon's configuration up to date and offers it to peers.
+///
+/// Thread safety: `configuration` and `offer` from any thread; everything else on the thread of the executor.
+/// Lifetime: kept alive by its own coroutines until `close`; the fetcher outlives it.
+template <base::time_source Clock, configuration_fetcher Fetcher, configuration_codec Codec>
+class configuration_spread_service
+    : public std::enable_shared_from_this<configuration_spread_service<Clock, Fetcher, Codec>> {
+public:
+    configuration_spread_service(boost::asio::any_io_executor executor, Fetcher& fetcher, Codec codec,
+                                 Clock clock = {})
+        : executor_{std::move(executor)}, fetcher_{fetcher}, codec_{std::move(codec)}, clock_{std::move(
+                                                                                           clock)},
+          configuration_{operators::configuration{}}, offer_{configuration_offer{}} {}
+
+    /// Asks some of `peers` first. Precondition: held by a `std::shared_ptr`; called once.
+    void start(std::vector<base::endpoint> peers) {
+        apply(spread_started{std::move(peers)});
+        boost::asio::co_spawn(executor_, keep_time(this->shared_from_this()), boost::asio::detached);
+    }
+
+    void close() { closed_ = true; }
+
+    /// Takes the announcement of a peer.
+    void hear(const revision_source& source) { apply(revision_heard{source}); }
+
+    /// Takes what the platform's store holds; nothing when it holds no configuration yet. Returns whether it
+    /// was put into force.
+    bool take_from_store(const std::optional<operators::configuration>& found) {
+        const auto revision = found ? (*found)->revision_ : 0;
+        const auto accepted = apply(store_answered{revision}) == spread_step::verdict::accept;
+        if (accepted) {
+            put_into_force(*found, codec_.encode(*found), "store");
+        }
+        return accepted;
+    }
+
+    /// Returns whether peers are asked first, the store has to be asked, or requests can be served.
+    [[nodiscard]] spread_phase phase() const noexcept { return state_.phase_; }
+    /// Returns the revision in force.
+    [[nodiscard]] std::uint64_t revision() const noexcept { return state_.revision_; }
+    /// Returns the configuration in force.
+    [[nodiscard]] const base::snapshot<operators::configuration>& configuration() const noexcept {
+        return configuration_;
+    }
+
+    /// Returns the answer for a peer that fetches.
+    [[nodiscard]] configuration_offer offer(const configuration_fetch& fetch) const {
+        const auto current = offer_.get();
+        if ((*current)->revision_ > fetch->known_revision_) {
+            return *current;
+        }
+        return configuration_offer{configuration_offer_fields{(*current)->revision_, {}}};
+    }
+
+private:
+    static boost::asio::awaitable<void> keep_time(std::shared_ptr<configuration_spread_service> self) {
+        while (!self->closed_) {
+            self->apply(spread_time_passed{});
+            co_await http::sleep_for(tick);
+        }
+    }
+
+    spread_step::verdict apply(const spread_event& event) {
+        auto next = step(std::move(state_), event, clock_.now());
+        state_ = std::move(next.state_);
+        if (next.fetch_ && !closed_) {
+            boost::asio::co_spawn(executor_, fetch(this->shared_from_this(), *next.fetch_),
+                                  boost::asio::detached);
+        }
+        return next.verdict_;
+    }
+
+    static boost::asio::awaitable<void> fetch(std::shared_ptr<configuration_spread_service> self,
+                                              base::endpoint peer) {
+        const auto known = self->revision();
+        const auto found = co_await self->fetcher_.fetch_configuration(peer, known, fetch_limit);
+        if (!found) {
+            report_failed_fetch(peer, found.last_reason());
+            self->apply(fetch_failed{});
+            co_return;
+        }
+        self->take_offer(peer, *found);
+    }
+
+    void take_offer(const base::endpoint& peer, const configuration_offer& found) {
+        if (found->revision_ <= revision()) {
+            apply(fetch_succeeded{found->revision_});
+            return;
+        }
+        const auto decoded = codec_.decode(found->content_);
+        if (!decoded || (*decoded)->revision_ != found->revision_) {
+            report_unreadable_configuration(peer, decoded ? "its revision differs from the offer's"
+                                                          : decoded.last_reason().message());
+            apply(fetch_failed{});
+            return;
+        }
+        if (apply(fetch_succeeded{found->revision_}) == spread_step::verdict::accept) {
+            put_into_force(*decoded, found->content_, peer.to_string());
+        }
+    }
+
+    void put_into_force(const operators::configuration& accepted, std::string content,
+                        std::string_view source) {
+        configuration_.publish(accepted);
+        offer_.publish(
+            configuration_offer{configuration_offer_fields{accepted->revision_, std::move(content)}});
+        report_accepted_configuration(accepted->revision_, source);
+    }
+
+    static constexpr base::clock::duration tick{250};
+    static constexpr base::clock::duration fetch_limit{2'000};
+
+    boost::asio::any_io_executor executor_;
+    Fetcher& fetcher_;
+    Codec codec_;
+    Clock clock_;
+    spread_state state_;
+    base::snapshot<operators::configuration> configuration_;
+    base::snapshot<configuration_offer> offer_;
+    bool closed_ = false;
+};
+
+} // namespace daemons
--- a/libraries/daemons/peer_replies.cpp
+++ b/libraries/daemons/peer_replies.cpp
@@ -57,9 +57,11 @@
     return frame{frame_type::hold_back, 0, encode_message(notice)};
 }
 
-base::answer answer_after_exception(const char* reason) {
+frame reply_after_exception(const frame& question, const char* reason) {
     base::log_event(events::peer_handler_failed, {{"reason", reason}});
-    return base::unknown(base::error{base::error_kind::internal, "the home of the group failed"});
+    const base::error failure{base::error_kind::internal, "the handler of the question failed"};
+    return question.type() == frame_type::request ? reply_with(question.id(), base::unknown(failure))
+                                                  : refuse(question, failure);
 }
 
 void report_invalid_frame(const base::error& reason) {
--- a/libraries/daemons/peer_replies.hpp
+++ b/libraries/daemons/peer_replies.hpp
@@ -27,8 +27,8 @@
 [[nodiscard]] frame refuse(const frame& question, const base::error& reason);
 [[nodiscard]] frame announce(const hold_back_notice& notice);
 
-/// Returns the answer for a request whose handler threw.
-[[nodiscard]] base::answer answer_after_exception(const char* reason);
+/// Returns the frame for a question whose handler threw: the outcome of a request is unknown.
+[[nodiscard]] frame reply_after_exception(const frame& question, const char* reason);
 
 /// Logs a frame that cannot be read.
 void report_invalid_frame(const base::error& reason);
--- a/libraries/daemons/peer_server.hpp
+++ b/libraries/daemons/peer_server.hpp
@@ -23,6 +23,7 @@
 #include <exception>
 #include <list>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace daemons {
@@ -119,6 +120,9 @@
             --owner_->in_flight_;
             --connection_->in_flight_;
         }
+        Handler& handler() { return owner_->handler_; }
+        void send(const frame& reply) { connection_->stream_->send(reply); }
+
         counted_question(const counted_question&) = delete;
         counted_question& operator=(const counted_question&) = delete;
         counted_question(counted_question&&) = delete;
@@ -218,6 +222,9 @@
         if (!message) {
             return message.last_reason();
         }
+        if (connection->stream_->unsent_bytes() > 2 * limits_.most_queued_bytes_) {
+            return base::error{base::error_kind::overloaded, "a peer asks on without reading the answers"};
+        }
         if (draining_) {
             refuse_question(connection, question, base::error_kind::shutting_down, "the daemon drains");
         } else if (connection->in_flight_ >= limits_.most_in_flight_ ||
@@ -225,10 +232,12 @@
             refuse_question(connection, question, base::error_kind::overloaded,
                             "too many questions on one connection between daemons");
         } else {
-            boost::asio::co_spawn(
-                executor_,
-                run_question(this->shared_from_this(), connection, question.id(), std::move(*message), call),
-                boost::asio::detached);
+            // Counted here, because the coroutine may start only after further frames were taken.
+            auto counted = std::make_unique<counted_question>(this->shared_from_this(), connection);
+            boost::asio::co_spawn(executor_,
+                                  run_question(std::move(counted), frame{question.type(), question.id(), {}},
+                                               std::move(*message), call),
+                                  boost::asio::detached);
         }
         return std::nullopt;
     }
@@ -239,18 +248,16 @@
     }
 
     template <typename Message, typename Call>
-    static boost::asio::awaitable<void> run_question(std::shared_ptr<peer_server> self,
-                                                     shared_connection connection, std::uint64_t id,
-                                                     Message message, Call call) {
-        const counted_question counted{self, connection};
+    static boost::asio::awaitable<void> run_question(std::unique_ptr<counted_question> counted,
+                                                     frame question, Message message, Call call) {
         std::optional<frame> reply;
         try {
-            const auto answer = co_await call(self->handler_, std::move(message));
-            reply = reply_with(id, answer);
+            const auto answer = co_await call(counted->handler(), std::move(message));
+            reply = reply_with(question.id(), answer);
         } catch (const std::exception& failure) {
-            reply = reply_with(id, answer_after_exception(failure.what()));
+            reply = reply_after_exception(question, failure.what());
         }
-        connection->stream_->send(*reply);
+        counted->send(*reply);
     }
 
     static constexpr base::clock::duration accept_retry_pause{20};
