--- a/libraries/daemons/member_list.cpp
+++ b/libraries/daemons/member_list.cpp
@@ -37,8 +37,11 @@
 }
 
 std::span<const member> member_list::serving_in(std::string_view region) const noexcept {
-    const auto found = std::ranges::equal_range(serving(), region, {}, region_of);
-    return {found.begin(), found.end()};
+    // Iterators, because clang 14 does not accept the subrange that std::ranges::equal_range returns.
+    const auto all = serving();
+    const auto first = std::ranges::lower_bound(all, region, {}, region_of);
+    const auto last = std::ranges::upper_bound(all, region, {}, region_of);
+    return {first, last};
 }
 
 const member* member_list::find(std::string_view name) const noexcept {
