--- a/libraries/operators/publish.cpp
+++ b/libraries/operators/publish.cpp
@@ -24,10 +24,9 @@
 } // namespace
 
 void log_report(const publishing_report& report) {
-    base::log_event(event_of(report.result_),
-                    {{"revision", std::to_string(report.revision_)},
-                     {"publisher", report.publisher_},
-                     {"error", report.error_ ? report.error_->to_string() : std::string{}}});
+    base::log_event(event_of(report.result_), {{"revision", std::to_string(report.revision_)},
+                                               {"publisher", report.publisher_},
+                                               {"result", to_string(report)}});
 }
 
 void log_lost_answer(const base::error& reason) {
--- a/libraries/operators/publishing.cpp
+++ b/libraries/operators/publishing.cpp
@@ -133,7 +133,7 @@
     if (state->is_put_unresolved_) {
         return fail(next, base::error{base::error_kind::answer_lost,
                                       "the publication was sent, but the store does not answer (" + reason +
-                                          "); it may take effect, and publishing it again is harmless"});
+                                          "); it may take effect"});
     }
     return fail(next,
                 base::error{base::error_kind::platform_unavailable,
@@ -176,8 +176,28 @@
     return std::visit([&state](const auto& happened) { return decide_on(state, happened); }, event);
 }
 
+std::string_view remedy_for(const publishing_report& report) noexcept {
+    if (!report.error_) {
+        return "";
+    }
+    switch (report.error_->kind()) {
+    // These kinds have a remedy for requests of callers, which does not fit a publication.
+    case base::error_kind::answer_lost:
+        return "publish the same declarations again when the store answers; that is harmless";
+    case base::error_kind::declaration_invalid:
+        return "use the newer version of the tool, or replace the content with --based_on its revision";
+    case base::error_kind::too_large:
+        return "shorten or remove declarations";
+    case base::error_kind::invalid_request:
+        return "correct the publisher's name";
+    default:
+        return report.error_->remedy();
+    }
+}
+
 std::string to_string(const publishing_report& report) {
     const auto revision = std::to_string(report.revision_);
+    const auto fault = report.error_ ? report.error_->message() + "; " + std::string{remedy_for(report)} : "";
     switch (report.result_) {
     case publishing_result::published:
         return "published: revision " + revision + " is in force";
@@ -185,11 +205,11 @@
         return "already in force: revision " + revision + " of " + report.publisher_ +
                " has the same declarations; nothing to do";
     case publishing_result::lost_race:
-        return "lost the race: " + report.error_->to_string();
+        return "lost the race: " + fault;
     case publishing_result::overtaken:
-        return "overtaken: " + report.error_->to_string();
+        return "overtaken: " + fault;
     case publishing_result::failed:
-        return "failed: " + report.error_->to_string();
+        return "failed: " + std::string{base::name_of(report.error_->kind())} + ": " + fault;
     }
     return "";
 }
--- a/libraries/operators/publishing.hpp
+++ b/libraries/operators/publishing.hpp
@@ -6,9 +6,11 @@
 #include <operators/configuration.hpp>
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace operators {
@@ -146,6 +148,9 @@
 [[nodiscard]] publishing_decision decide_publishing(const publishing_state& state,
                                                     const publishing_event& event);
 
+/// Returns what the operator can do about a report that has an error; empty for one that has none.
+[[nodiscard]] std::string_view remedy_for(const publishing_report& report) noexcept;
+
 /// Returns what the operator reads: the result and what to do about it.
 [[nodiscard]] std::string to_string(const publishing_report& report);
 
