--- a/libraries/operators/keyed_file.cpp
+++ b/libraries/operators/keyed_file.cpp
@@ -70,7 +70,9 @@
 
 private:
     void read_section(const std::string& title) {
-        const auto [kind, name] = split_title(title);
+        const auto parts = split_title(title);
+        const auto& kind = parts.kind_;
+        const auto& name = parts.name_;
         const auto found = std::find_if(format_.sections_.begin(), format_.sections_.end(),
                                         [&kind](const auto& section) { return section.kind_ == kind; });
         if (found == format_.sections_.end()) {
--- a/libraries/operators/publishing.cpp
+++ b/libraries/operators/publishing.cpp
@@ -49,7 +49,7 @@
         return fail(state, base::error{base::error_kind::answer_lost,
                                        "the store confirmed none of " + std::to_string(most_puts) +
                                            " attempts and the publication is not in force; it may still "
-                                           "take effect, and publishing it again is harmless"});
+                                           "take effect"});
     }
     auto next = state.with([expected_revision](publishing_state_fields& fields) {
         fields.expected_revision_ = expected_revision;
--- a/tests/operators/samples.hpp
+++ b/tests/operators/samples.hpp
@@ -25,9 +25,10 @@
     fields.name_ = name;
     fields.region_ = "croatia";
     for (std::uint16_t number = 0; number < 3; ++number) {
-        const auto suffix = std::string(1, static_cast<char>('a' + number));
+        const std::string domain(1, static_cast<char>('a' + number));
+        const auto port = static_cast<std::uint16_t>(first_port + number);
         fields.databases_.push_back(
-            {name + "_" + suffix, {"127.0.0.1", static_cast<std::uint16_t>(first_port + number)}, suffix});
+            {std::string{name}.append("_").append(domain), {"127.0.0.1", port}, domain});
     }
     fields.ranks_.push_back({"payout_confirmation"});
     fields.read_classes_.push_back({"fresh"});
