--- a/libraries/backends/group_monitor.hpp
+++ b/libraries/backends/group_monitor.hpp
@@ -585,7 +585,7 @@
 
     void begin_takeover(takeover_reason reason, time_point now) {
         damping_ = damping_.with_start(now);
-        takeover_ = takeover::begin(view_, reason, settings_.proposer_, now, jitter_);
+        takeover_ = takeover::begin(view_, reason, settings_.proposer_, last_used_term_, now, jitter_);
         base::log_event(events::takeover_started, {{"group", settings_.group_},
                                                    {"term", std::to_string(takeover_->term())},
                                                    {"reason", std::string{name_of(reason)}}});
@@ -606,6 +606,7 @@
                         {{"group", settings_.group_},
                          {"term", std::to_string(takeover_->term())},
                          {"database", takeover_->chosen()}});
+        last_used_term_ = takeover_->term();
         takeover_.reset();
         wake_databases();
     }
@@ -648,6 +649,7 @@
     discovery discovery_;
     std::optional<takeover> takeover_;
     takeover_damping damping_;
+    std::uint64_t last_used_term_ = 0;
     std::mt19937_64 random_;
     duration jitter_{0};
     std::vector<std::unique_ptr<watched_database>> watched_;
--- a/libraries/backends/takeover.cpp
+++ b/libraries/backends/takeover.cpp
@@ -37,12 +37,13 @@
 }
 
 takeover takeover::begin(const group_view& view, takeover_reason reason, std::string proposer,
-                         base::clock::time_point now, base::clock::duration jitter) {
+                         std::uint64_t last_used_term, base::clock::time_point now,
+                         base::clock::duration jitter) {
     takeover created;
     const bool orderly = reason == takeover_reason::primary_leaving;
     created.phase_ = orderly ? takeover_phase::catching_up : takeover_phase::raising;
     created.reason_ = reason;
-    created.term_ = view.greatest_term() + 1;
+    created.term_ = std::max(view.greatest_term(), last_used_term) + 1;
     created.proposer_ = std::move(proposer);
     created.started_at_ = now;
     created.not_before_ = now;
--- a/libraries/backends/takeover.hpp
+++ b/libraries/backends/takeover.hpp
@@ -57,11 +57,14 @@
 /// simply due again. Thread safety: immutable value.
 class takeover {
 public:
-    /// Starts a takeover with a term above all that `view` knows.
-    /// Precondition: `proposer` is used by no other process and no earlier run of this one. `jitter` is
-    /// random and spreads the retries of racing homes.
+    /// Starts a takeover with a term above all that `view` knows and above `last_used_term`.
+    /// Preconditions: `proposer` is used by no other process and no earlier run of this one; `last_used_term`
+    /// is at least `term()` of every earlier takeover of this proposer. A failed takeover may have promoted a
+    /// database without the view having heard of its term, so the same term must not come up again. `jitter`
+    /// is random and spreads the retries of racing homes.
     [[nodiscard]] static takeover begin(const group_view& view, takeover_reason reason, std::string proposer,
-                                        base::clock::time_point now, base::clock::duration jitter);
+                                        std::uint64_t last_used_term, base::clock::time_point now,
+                                        base::clock::duration jitter);
 
     /// Returns the request that is due to a database now; empty when none is.
     [[nodiscard]] std::optional<takeover_request> next_request(std::string_view database,
