--- a/tests/backends/group_model.cpp
+++ b/tests/backends/group_model.cpp
@@ -115,8 +115,8 @@
     return random_() % count;
 }
 
-void simulation::send(std::size_t node, std::size_t index, event action) {
-    network_.push_back({.node_ = node, .database_ = index, .action_ = std::move(action)});
+void simulation::send(std::size_t node, std::size_t index, event action, delivery kind) {
+    network_.push_back({.node_ = node, .database_ = index, .action_ = std::move(action), .kind_ = kind});
 }
 
 void simulation::deliver_one() {
@@ -129,7 +129,7 @@
     if (!is_recovering_ && (sides_[delivered.node_] != sides_[delivered.database_] || chance(2 * turmoil_))) {
         return;
     }
-    if (!is_recovering_ && chance(2 * turmoil_)) {
+    if (!is_recovering_ && delivered.kind_ == delivery::repeatable && chance(2 * turmoil_)) {
         network_.push_back(delivered);
     }
     delivered.action_();
@@ -308,47 +308,52 @@
 
 void simulation::send_attempt(home& self, std::uint64_t id, std::size_t index, std::uint64_t term) {
     const auto sent = self.requests_.at(id);
-    send(self.node_, index, [this, &self, id, index, term, sent] {
-        auto& one = databases_[index];
-        const auto answer = [this, &self, id, index, attempt = sent.attempt_](auto take) {
-            send(self.node_, index, [&self, id, attempt, take] {
-                const auto found = self.requests_.find(id);
-                if (found != self.requests_.end() && found->second.attempt_ == attempt &&
-                    !found->second.waits_at_gate_) {
-                    take(found->second);
-                }
-            });
-        };
-        if (!one.is_primary_ || one.term_ != term) {
-            answer([this, &self, id](served_request& request) {
-                finish_attempt(self, id, request.settles_ ? attempt_end::settle_failed : attempt_end::refused,
-                               backends::refusal::term_stale);
-            });
-            return;
-        }
-        const auto* known = sent.is_read_ ? nullptr : one.find(sent.key_);
-        if (known != nullptr && known->cancels_ && !sent.settles_) {
-            answer([this, &self, id](served_request&) {
-                finish_attempt(self, id, attempt_end::refused, backends::refusal::cancelled);
-            });
-            return;
-        }
-        // The broken rule reports a replayed outcome at the place of its old entry.
-        auto position = one.last();
-        if (known != nullptr && rules_.gate_ == gate_rule::any_term) {
-            const auto place = static_cast<std::uint64_t>(known - one.log_.data()) + 1;
-            position = base::log_position{known->term_, place};
-        }
-        const bool cancelled = sent.settles_ && (known == nullptr || known->cancels_);
-        if (known == nullptr && !sent.is_read_) {
-            one.log_.push_back({.term_ = term, .key_ = sent.key_, .cancels_ = cancelled});
-            position = one.last();
-        }
-        answer([this, &self, id, position, cancelled, seen = writes_in(one.log_)](served_request& request) {
-            request.cancelled_ = cancelled;
-            take_done(self, id, position, seen);
-        });
-    });
+    send(
+        self.node_, index,
+        [this, &self, id, index, term, sent] {
+            auto& one = databases_[index];
+            const auto answer = [this, &self, id, index, attempt = sent.attempt_](auto take) {
+                send(self.node_, index, [&self, id, attempt, take] {
+                    const auto found = self.requests_.find(id);
+                    if (found != self.requests_.end() && found->second.attempt_ == attempt &&
+                        !found->second.waits_at_gate_) {
+                        take(found->second);
+                    }
+                });
+            };
+            if (!one.is_primary_ || one.term_ != term) {
+                answer([this, &self, id](served_request& request) {
+                    finish_attempt(self, id,
+                                   request.settles_ ? attempt_end::settle_failed : attempt_end::refused,
+                                   backends::refusal::term_stale);
+                });
+                return;
+            }
+            const auto* known = sent.is_read_ ? nullptr : one.find(sent.key_);
+            if (known != nullptr && known->cancels_ && !sent.settles_) {
+                answer([this, &self, id](served_request&) {
+                    finish_attempt(self, id, attempt_end::refused, backends::refusal::cancelled);
+                });
+                return;
+            }
+            // The broken rule reports a replayed outcome at the place of its old entry.
+            auto position = one.last();
+            if (known != nullptr && rules_.gate_ == gate_rule::any_term) {
+                const auto place = static_cast<std::uint64_t>(known - one.log_.data()) + 1;
+                position = base::log_position{known->term_, place};
+            }
+            const bool cancelled = sent.settles_ && (known == nullptr || known->cancels_);
+            if (known == nullptr && !sent.is_read_) {
+                one.log_.push_back({.term_ = term, .key_ = sent.key_, .cancels_ = cancelled});
+                position = one.last();
+            }
+            answer(
+                [this, &self, id, position, cancelled, seen = writes_in(one.log_)](served_request& request) {
+                    request.cancelled_ = cancelled;
+                    take_done(self, id, position, seen);
+                });
+        },
+        delivery::at_most_once);
 }
 
 void simulation::take_done(home& self, std::uint64_t id, base::log_position position, std::set<int> seen) {
--- a/tests/backends/group_model.hpp
+++ b/tests/backends/group_model.hpp
@@ -103,10 +103,12 @@
 
 private:
     using event = std::function<void()>;
+    /// Statements travel on a TCP connection, which delivers a request once and answers it once.
+    enum class delivery : std::uint8_t { repeatable, at_most_once };
 
     [[nodiscard]] bool chance(int percent);
     [[nodiscard]] std::size_t pick(std::size_t count);
-    void send(std::size_t node, std::size_t database, event action);
+    void send(std::size_t node, std::size_t database, event action, delivery kind = delivery::repeatable);
     void deliver_one();
     void step();
     void tick(home& self);
@@ -139,6 +141,7 @@
         std::size_t node_;
         std::size_t database_;
         event action_;
+        delivery kind_;
     };
     std::vector<message> network_;
     /// How restless the run is, from 0 to 3.
