--- /dev/null
+++ b/tests/backends/test_group_monitor.cpp
@@ -0,0 +1,306 @@
+#include "group_model.hpp"
+
+#include <backends/database_client.hpp>
+#include <backends/group_monitor.hpp>
+
+#include <http/server.hpp>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+
+#include <array>
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace backends;
+using base::clock;
+
+constexpr std::uint16_t first_port = 39'400;
+constexpr clock::duration time_limit{8'000};
+
+// One database of the group model behind HTTP.
+struct served_database {
+    std::string name_;
+    group_model::database state_;
+    /// Connections up to this number get no answers.
+    std::size_t last_silent_connection_ = 0;
+    std::size_t last_connection_ = 0;
+};
+
+class test_group;
+
+struct database_handler {
+    test_group* group_;
+    std::size_t index_;
+
+    asio::awaitable<http::response> operator()(http::request message, std::size_t connection);
+};
+
+// Three databases that replicate at once unless told otherwise.
+class test_group {
+public:
+    explicit test_group(asio::io_context& context) {
+        for (std::size_t index = 0; index < databases_.size(); ++index) {
+            databases_[index].name_ = "d" + std::to_string(index);
+            const auto address = address_of(index);
+            auto socket = http::listener::open(context.get_executor(), address);
+            EXPECT_TRUE(socket);
+            servers_[index] = std::make_shared<http::server<database_handler>>(
+                context.get_executor(), std::move(*socket), database_handler{this, index}, http::limits{},
+                nullptr, 50);
+            servers_[index]->start();
+        }
+    }
+
+    static base::endpoint address_of(std::size_t index) {
+        return {"127.0.0.1", static_cast<std::uint16_t>(first_port + index)};
+    }
+
+    void kill(std::size_t index) {
+        servers_[index]->close();
+        is_alive_[index] = false;
+    }
+
+    void close() {
+        for (std::size_t index = 0; index < databases_.size(); ++index) {
+            kill(index);
+        }
+    }
+
+    void replicate(std::size_t from) {
+        for (std::size_t index = 0; index < databases_.size(); ++index) {
+            if (replicates_ && is_alive_[index] && index != from) {
+                databases_[index].state_.replicate(databases_[from].state_.term_,
+                                                   databases_[from].state_.log_);
+            }
+        }
+    }
+
+    json::object answer(std::size_t index, const std::string& path, const json::object& request);
+
+    std::array<served_database, 3> databases_;
+    std::array<std::shared_ptr<http::server<database_handler>>, 3> servers_;
+    std::array<bool, 3> is_alive_{true, true, true};
+    bool replicates_ = true;
+};
+
+json::object to_json(base::log_position position) {
+    return {{"term", position.term()}, {"position", position.index()}};
+}
+
+json::object test_group::answer(std::size_t index, const std::string& path, const json::object& request) {
+    auto& self = databases_[index];
+    auto& state = self.state_;
+    const auto term = request.contains("term") ? request.at("term").to_number<std::uint64_t>() : 0;
+    const auto proposer = request.contains("proposer") ? std::string{request.at("proposer").as_string()} : "";
+    if (path == "/v1/raise") {
+        const bool granted = state.raise(term, proposer);
+        return {{"granted", granted}, {"term", state.term_}, {"last", to_json(state.last())}};
+    }
+    if (path == "/v1/promote") {
+        const bool promoted = state.promote(term, proposer);
+        replicate(index);
+        return {{"promoted", promoted}, {"term", state.term_}, {"last", to_json(state.last())}};
+    }
+    if (path == "/v1/execute") {
+        if (!state.is_primary_ || state.term_ != term) {
+            return {{"status", "refused"}, {"reason", "not_primary"}, {"term", state.term_}};
+        }
+        state.log_.push_back({.term_ = term, .key_ = 1});
+        replicate(index);
+        return {{"status", "done"}, {"position", to_json(state.last())}, {"results", {"ok"}}};
+    }
+    return {{"database", self.name_},
+            {"term", state.term_},
+            {"last", to_json(state.last())},
+            {"role", state.is_primary_ ? "primary" : "replica"},
+            {"start", 0},
+            {"leaving", state.is_leaving_}};
+}
+
+asio::awaitable<http::response> database_handler::operator()(http::request message, std::size_t connection) {
+    auto& self = group_->databases_[index_];
+    self.last_connection_ = std::max(self.last_connection_, connection);
+    if (connection <= self.last_silent_connection_) {
+        co_await http::sleep_for(clock::duration{1'500});
+    }
+    const auto request = json::parse(message->body_).as_object();
+    if (request.contains("wait")) {
+        const auto length = request.at("wait").at("milliseconds").to_number<std::int64_t>();
+        co_await http::sleep_for(clock::duration{std::min<std::int64_t>(length, 5)});
+    }
+    auto answer = group_->answer(index_, message->target_, request);
+    answer["id"] = request.at("id");
+    co_return http::json_response(200, json::serialize(answer));
+}
+
+struct fixed_check {
+    suspicion_result* found_;
+    int* calls_;
+
+    asio::awaitable<suspicion_result> operator()(operators::database_declaration /*database*/) const {
+        ++*calls_;
+        co_return *found_;
+    }
+};
+
+using monitor = group_monitor<database_client_connector, clock, fixed_check>;
+
+// What a test body works with.
+struct running_group {
+    test_group databases_;
+    suspicion_result found_ = suspicion_result::not_reached;
+    int calls_ = 0;
+    clock time_;
+    std::shared_ptr<monitor> monitor_;
+
+    explicit running_group(asio::io_context& context) : databases_{context} {
+        group_monitor_settings settings{.group_ = "ledger", .proposer_ = "home-run-1", .random_seed_ = 7};
+        for (std::size_t index = 0; index < 3; ++index) {
+            settings.databases_.push_back(
+                {.name_ = "d" + std::to_string(index), .address_ = test_group::address_of(index)});
+        }
+        monitor_ = std::make_shared<monitor>(context.get_executor(), settings, database_client_connector{},
+                                             time_, fixed_check{&found_, &calls_});
+        monitor_->start();
+    }
+
+    static std::size_t index_of(const primary_location& primary) { return primary.database_[1] - '0'; }
+
+    asio::awaitable<primary_location> find_primary() {
+        auto found = co_await monitor_->wait_for_primary(clock::now() + time_limit);
+        EXPECT_TRUE(found);
+        co_return found ? *found : primary_location{};
+    }
+
+    asio::awaitable<base::log_position> write(primary_location primary) {
+        auto connection = co_await database_client::connect(primary.address_, time_limit);
+        EXPECT_TRUE(connection);
+        const execute_request request{execute_request_fields{
+            .term_ = primary.term_, .access_ = base::access::write, .statements_ = {"set a 1"}}};
+        const auto answer = co_await connection->run(statement_path::execute, request, time_limit);
+        EXPECT_TRUE(answer);
+        monitor_->report_answer(primary.database_, (*answer)->position_);
+        co_return (*answer)->position_;
+    }
+};
+
+// Runs the body with three databases and a monitor; ends only if every coroutine ends after `stop`.
+template <typename Body>
+void run_with_group(Body body) {
+    asio::io_context context;
+    running_group group{context};
+    bool finished = false;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            co_await body(group);
+            finished = true;
+            group.monitor_->stop();
+            group.databases_.close();
+        },
+        asio::detached);
+    context.run_for(std::chrono::seconds{30});
+    EXPECT_TRUE(finished);
+    EXPECT_TRUE(context.stopped());
+    EXPECT_EQ(group.monitor_.use_count(), 1);
+}
+
+} // namespace
+
+// Guards against a group that stays without a first primary, and against waits that never end.
+TEST(group_monitor, promotes_a_first_primary_and_releases_what_a_majority_holds) {
+    run_with_group([](running_group& group) -> asio::awaitable<void> {
+        const auto primary = co_await group.find_primary();
+        EXPECT_EQ(primary.term_, 1U);
+        const auto position = co_await group.write(primary);
+        const auto deadline = clock::now() + time_limit;
+        const auto released = co_await group.monitor_->wait_until_committed(position, deadline);
+        EXPECT_EQ(released, gate_result::released);
+        const auto confirmed = co_await group.monitor_->confirm_term(primary.term_, deadline);
+        EXPECT_EQ(confirmed, freshness_result::confirmed);
+        EXPECT_EQ(group.monitor_->published_view().get()->primary(), primary.database_);
+    });
+}
+
+// Guards against a write that only the primary holds being released, and against its loss unnoticed.
+TEST(group_monitor, replaces_a_dead_primary_and_fails_what_waits_at_the_gate) {
+    run_with_group([](running_group& group) -> asio::awaitable<void> {
+        const auto primary = co_await group.find_primary();
+        group.databases_.replicates_ = false;
+        const auto position = co_await group.write(primary);
+        const auto early =
+            co_await group.monitor_->wait_until_committed(position, clock::now() + clock::duration{100});
+        EXPECT_EQ(early, gate_result::timed_out);
+        group.databases_.kill(running_group::index_of(primary));
+        group.databases_.replicates_ = true;
+        const auto result =
+            co_await group.monitor_->wait_until_committed(position, clock::now() + time_limit);
+        EXPECT_EQ(result, gate_result::term_changed);
+        const auto next = co_await group.find_primary();
+        EXPECT_GT(next.term_, primary.term_);
+        EXPECT_NE(next.database_, primary.database_);
+        EXPECT_GT(group.calls_, 0);
+    });
+}
+
+// Guards against deposing a primary that a daemon in another failure domain still reaches.
+TEST(group_monitor, keeps_a_primary_that_another_daemon_reaches) {
+    run_with_group([](running_group& group) -> asio::awaitable<void> {
+        const auto primary = co_await group.find_primary();
+        group.found_ = suspicion_result::reached;
+        group.databases_.kill(running_group::index_of(primary));
+        co_await http::sleep_for(clock::duration{2'500});
+        EXPECT_GT(group.calls_, 0);
+        EXPECT_EQ(group.monitor_->view().term(), primary.term_);
+        EXPECT_EQ(group.monitor_->view().greatest_term(), primary.term_);
+    });
+}
+
+// Guards against a daemon without a majority that raises terms at the databases it still reaches.
+TEST(group_monitor, raises_no_term_without_a_majority) {
+    run_with_group([](running_group& group) -> asio::awaitable<void> {
+        const auto primary = co_await group.find_primary();
+        const auto index = running_group::index_of(primary);
+        const auto left = (index + 2) % 3;
+        group.databases_.kill((index + 1) % 3);
+        co_await http::sleep_for(clock::duration{1'000});
+        group.databases_.kill(index);
+        co_await http::sleep_for(clock::duration{2'500});
+        EXPECT_EQ(group.databases_.databases_[left].state_.term_, primary.term_);
+        const auto none = co_await group.monitor_->wait_for_primary(clock::now() + clock::duration{50});
+        EXPECT_TRUE(!none || none->term_ == primary.term_);
+    });
+}
+
+// Guards against taking silent connections for a dead primary: new connections to it work.
+TEST(group_monitor, silent_connections_do_not_depose_a_primary) {
+    run_with_group([](running_group& group) -> asio::awaitable<void> {
+        const auto primary = co_await group.find_primary();
+        for (auto& database : group.databases_.databases_) {
+            database.last_silent_connection_ = database.last_connection_;
+        }
+        co_await http::sleep_for(clock::duration{2'500});
+        const auto confirmed =
+            co_await group.monitor_->confirm_term(primary.term_, clock::now() + time_limit);
+        EXPECT_EQ(confirmed, freshness_result::confirmed);
+        EXPECT_EQ(group.monitor_->view().greatest_term(), primary.term_);
+    });
+}
+
+// Guards against new work for a leaving primary.
+TEST(group_monitor, moves_the_role_away_from_a_leaving_primary) {
+    run_with_group([](running_group& group) -> asio::awaitable<void> {
+        const auto primary = co_await group.find_primary();
+        group.databases_.databases_[running_group::index_of(primary)].state_.is_leaving_ = true;
+        // The next status answer, at most one poll later, takes the primary out of use.
+        co_await http::sleep_for(2 * poll_period);
+        const auto next = co_await group.find_primary();
+        EXPECT_NE(next.database_, primary.database_);
+        EXPECT_GT(next.term_, primary.term_);
+    });
+}
