--- a/libraries/proxy/group_home.hpp
+++ b/libraries/proxy/group_home.hpp
@@ -213,23 +213,23 @@
     boost::asio::awaitable<base::answer> execute_alone(routed_request routed, time_point deadline) {
         const auto& request = routed->request_;
         auto earlier = backends::earlier_attempts::none_ran;
-        bool settling = request->access_ == base::access::settle;
+        auto kind =
+            request->access_ == base::access::settle ? attempt_kind::settle : attempt_kind::statements;
         budget_.note_attempt(clock_.now());
         while (true) {
-            attempt last = settling ? co_await settle_outcome(routed, deadline)
-                                    : co_await attempt_statements(routed, deadline);
+            const attempt last = co_await make_attempt(routed, kind, deadline);
             const auto decision = decide(routed, last, earlier, deadline);
             earlier = decision.earlier_;
             if (decision.next_ == backends::next_step::settle) {
                 // A settle that failed is tried again after a pause, as long as there is time.
-                if (settling) {
+                if (kind == attempt_kind::settle) {
                     co_await http::sleep_for(retry_pause(deadline));
                 }
-                settling = true;
+                kind = attempt_kind::settle;
                 continue;
             }
             if (decision.next_ == backends::next_step::retry) {
-                settling = false;
+                kind = attempt_kind::statements;
                 co_await http::sleep_for(retry_pause(deadline));
                 continue;
             }
@@ -237,6 +237,19 @@
         }
     }
 
+    /// What an attempt asks of the database group.
+    enum class attempt_kind : std::uint8_t { statements, settle };
+
+    // Two statements instead of one conditional expression: g++ 12 destroys the result of a co_await inside a
+    // conditional operator twice.
+    boost::asio::awaitable<attempt> make_attempt(routed_request routed, attempt_kind kind,
+                                                 time_point deadline) {
+        if (kind == attempt_kind::settle) {
+            co_return co_await settle_outcome(routed, deadline);
+        }
+        co_return co_await attempt_statements(routed, deadline);
+    }
+
     backends::outcome_decision decide(const routed_request& routed, const attempt& last,
                                       backends::earlier_attempts earlier, time_point deadline) {
         const auto& request = routed->request_;
@@ -338,10 +351,11 @@
                                               time_point deadline) {
         const auto passed = co_await monitor_->wait_until_committed(position, deadline);
         if (passed == backends::gate_result::released) {
-            co_return attempt_fields{.end_ = on_release,
-                                     .results_ = std::move(results),
-                                     .position_ = position,
-                                     .served_by_ = served_by};
+            const attempt released{attempt_fields{.end_ = on_release,
+                                                  .results_ = std::move(results),
+                                                  .position_ = position,
+                                                  .served_by_ = served_by}};
+            co_return released;
         }
         co_return failed_attempt(passed == backends::gate_result::term_changed
                                      ? backends::attempt_end::term_changed
