--- a/utilities/sassafrasctl/file_commands.cpp
+++ b/utilities/sassafrasctl/file_commands.cpp
@@ -9,6 +9,7 @@
 #include <utilities/sassafrasctl/print.hpp>
 #include <utilities/sassafrasctl/store_client.hpp>
 
+#include <algorithm>
 #include <filesystem>
 #include <iostream>
 #include <utility>
@@ -48,13 +49,26 @@
     void check_directory(const std::string& path) {
         auto listing = operators::load_declarations(path);
         add(listing.problems_);
-        services_.insert(services_.end(), listing.services_.begin(), listing.services_.end());
+        for (const auto& service : listing.services_) {
+            add_service(service);
+        }
     }
 
     void take(const std::string& path, const operators::checked<operators::service_declaration>& read) {
         add(read.problems_);
         if (read.value_) {
-            services_.push_back({path, *read.value_});
+            add_service({path, *read.value_});
+        }
+    }
+
+    // A file that several arguments name is one declaration.
+    void add_service(const operators::declared_service& service) {
+        const auto is_same_file = [&service](const operators::declared_service& other) {
+            std::error_code failure;
+            return std::filesystem::equivalent(service.file_, other.file_, failure);
+        };
+        if (std::none_of(services_.begin(), services_.end(), is_same_file)) {
+            services_.push_back(service);
         }
     }
 
--- a/utilities/sassafrasctl/store_client.cpp
+++ b/utilities/sassafrasctl/store_client.cpp
@@ -79,7 +79,8 @@
     }
     read_value read;
     read.found_ = true;
-    read.value_ = value->get_string().c_str();
+    const auto& text = value->get_string();
+    read.value_.assign(text.data(), text.size());
     read.revision_ = *revision;
     co_return read;
 }
