Backends: Do not count a suspected primary among the databases that answer

A primary that broke its connections was heard less than 750 ms ago and so counted towards the majority that this daemon must reach before it deposes anyone: with one other database left, the daemon raised a term there. Checks and log lines during a long partition are paced.

--- a/libraries/backends/group_monitor.hpp
+++ b/libraries/backends/group_monitor.hpp
@@ -226,6 +226,7 @@
         std::optional<connection> connection_;
         /// Whether a status on this connection has shown that the database is the declared one.
         bool is_verified_ = false;
+        bool is_takeover_withheld_ = false;
         time_point asked_at_{};
         time_point poll_at_{};
         /// No request is sent before; set after a failure, so that a refused connection causes no busy loop.
@@ -455,6 +456,7 @@
 
     void take_answer(watched_database& database) {
         database.detector_ = database.detector_.with_answer(clock_.now());
+        database.is_takeover_withheld_ = false;
         if (wanted_position(database)) {
             // A database that answers a long poll too early must not be asked in a tight loop.
             database.not_before_ = std::max(database.not_before_, database.asked_at_ + least_question_gap);
@@ -480,7 +482,7 @@
         if (database.detector_.phase() == detector_phase::asking_other_daemon) {
             co_await check_suspicion(database);
         }
-        database.not_before_ = clock_.now() + pause_after_failure;
+        database.not_before_ = std::max(database.not_before_, clock_.now() + pause_after_failure);
     }
 
     // Without a known primary any silent database may be it.
@@ -495,8 +497,19 @@
             database.detector_ = database.detector_.with_check(suspicion_result::reached, 0, watched_.size());
             co_return;
         }
+        if (answering_databases() < view_.majority()) {
+            // Whatever the other daemon finds, this one deposes nobody now.
+            database.detector_ =
+                database.detector_.with_check(suspicion_result::not_reached, 0, watched_.size());
+            withhold_takeover(database, answering_databases());
+            co_return;
+        }
         const auto found = co_await check_(database.declared_);
-        const auto answering = view_.answering_since(clock_.now() - silence_limit);
+        if (found == suspicion_result::reached) {
+            // The other daemon is not asked again at the pace of failed connections.
+            database.not_before_ = clock_.now() + pause_after_check;
+        }
+        const auto answering = answering_databases();
         database.detector_ = database.detector_.with_check(found, answering, watched_.size());
         base::log_event(events::suspicion_checked,
                         {{"group", settings_.group_},
@@ -505,6 +518,15 @@
                                     : found == suspicion_result::not_reached ? "not_reached"
                                                                              : "no_daemon"}});
         if (found != suspicion_result::reached && database.detector_.phase() != detector_phase::failed) {
+            withhold_takeover(database, answering);
+        }
+    }
+
+    // Logged once until the database answers again; a partition may last for an hour.
+    void withhold_takeover(watched_database& database, std::size_t answering) {
+        database.not_before_ = clock_.now() + poll_period;
+        if (!database.is_takeover_withheld_) {
+            database.is_takeover_withheld_ = true;
             base::log_event(events::takeover_withheld,
                             {{"group", settings_.group_}, {"answering", std::to_string(answering)}});
         }
@@ -557,7 +579,7 @@
     }
 
     [[nodiscard]] std::optional<takeover_reason> due_takeover(time_point now) const {
-        if (view_.answering_since(now - silence_limit) < view_.majority()) {
+        if (answering_databases() < view_.majority()) {
             return std::nullopt;
         }
         const auto primary = view_.primary();
@@ -575,6 +597,14 @@
         return reason;
     }
 
+    // A suspected database does not count, however lately it was heard.
+    [[nodiscard]] std::size_t answering_databases() const {
+        const auto now = clock_.now();
+        return static_cast<std::size_t>(
+            std::count_if(watched_.begin(), watched_.end(),
+                          [now](const auto& one) { return one->detector_.is_answering(now); }));
+    }
+
     // A database that this daemon cannot reach may be a primary that others reach.
     [[nodiscard]] bool are_silent_databases_checked() const {
         return std::all_of(watched_.begin(), watched_.end(), [](const auto& database) {
@@ -634,6 +664,7 @@
     static constexpr duration least_answer_time{100};
     static constexpr duration least_question_gap{5};
     static constexpr duration pause_after_failure{100};
+    static constexpr duration pause_after_check{1'000};
     static constexpr duration greatest_jitter{100};
 
     boost::asio::any_io_executor executor_;
--- a/libraries/backends/group_view.cpp
+++ b/libraries/backends/group_view.cpp
@@ -98,13 +98,6 @@
     return find_in(databases_, database);
 }
 
-std::size_t group_view::answering_since(base::clock::time_point since) const noexcept {
-    return static_cast<std::size_t>(
-        std::count_if(databases_.begin(), databases_.end(), [since](const auto& database) {
-            return database.status_ && database.heard_at_ >= since;
-        }));
-}
-
 void group_view::learn_primary(const database_status& status) {
     if (status->role_ == base::database_role::primary && status->term_ > term_) {
         term_ = status->term_;
--- a/libraries/backends/group_view.hpp
+++ b/libraries/backends/group_view.hpp
@@ -79,8 +79,7 @@
     /// Returns how many databases are more than half of the group.
     [[nodiscard]] std::size_t majority() const noexcept { return databases_.size() / 2 + 1; }
 
-    /// Returns how many databases have answered this daemon at or after `since`.
-    [[nodiscard]] std::size_t answering_since(base::clock::time_point since) const noexcept;
+    ///
 
     friend auto operator<=>(const group_view&, const group_view&) = default;
 
--- a/libraries/backends/waiter_list.hpp
+++ b/libraries/backends/waiter_list.hpp
@@ -25,8 +25,8 @@
     /// One waiting coroutine. Lives in the coroutine's frame and unregisters when that is destroyed.
     class waiter {
     public:
-        waiter(waiter_list& owner, std::uint64_t number, boost::asio::any_io_executor executor)
-            : owner_{owner}, number_{number}, timer_{std::move(executor)} {
+        waiter(waiter_list& owner, std::uint64_t number, const boost::asio::any_io_executor& executor)
+            : owner_{owner}, number_{number}, timer_{executor} {
             owner_.waiters_.emplace(number_, this);
         }
         ~waiter() { owner_.waiters_.erase(number_); }
