--- a/specifications/group.pml
+++ b/specifications/group.pml
@@ -102,7 +102,8 @@
 #endif
 #define for_databases(option, t) option(0, t) option(1, t) option(2, t)
 
-/* p = position of an entry of this kind among the first `limit` entries of the term's history, 0 if there is none. */
+/* p = position of an entry of this kind among the first `limit` entries of the term's history, 0 if there is none.
+   p and limit must be different variables. */
 inline find(t, limit, wanted, p) {
     p = 1;
     do
@@ -322,7 +323,7 @@
         i++
     :: else -> break
     od;
-    n = 0; i = 0; j = 0
+    n = 0; m = 0; i = 0; j = 0
 }
 #elif PROPERTY == REPLACED
 inline check() {
@@ -339,7 +340,7 @@
         i++
     :: else -> break
     od;
-    n = 0; i = 0; j = 0
+    n = 0; m = 0; i = 0; j = 0
 }
 #elif PROPERTY == ONCE
 inline check() {
@@ -358,7 +359,7 @@
         i++
     :: else -> break
     od;
-    n = 0; i = 0; j = 0
+    n = 0; m = 0; i = 0; j = 0
 }
 #elif PROPERTY == NOT_RUN
 inline check() {
@@ -366,16 +367,16 @@
     do
     :: i <= TERMS ->
         n = released(i);
-        find(i, n, CANCELLED, n);
+        find(i, n, CANCELLED, m);
         if
-        :: n > 0 || told_term == i ->
+        :: m > 0 || told_term == i ->
             j = 1;
             do
             :: j <= TERMS ->
                 /* Later histories do not contain the write; earlier ones never released it. */
                 n = (j >= i -> length[j] : released(j));
-                find(j, n, KEYED, n);
-                assert(n == 0);
+                find(j, n, KEYED, m);
+                assert(m == 0);
                 j++
             :: else -> break
             od
@@ -384,28 +385,28 @@
         i++
     :: else -> break
     od;
-    n = 0; i = 0; j = 0
+    n = 0; m = 0; i = 0; j = 0
 }
 #elif PROPERTY == TOKEN
-/* For each write of kind w and each term i that could have acknowledged it with the token (i, n). */
+/* For each write of kind w and each term i that could have acknowledged it with the token (i, m). */
 inline check_token(w) {
     i = 1;
     do
     :: i <= TERMS ->
         n = released(i);
-        find(i, n, w, n);
+        find(i, n, w, m);
         if
-        :: n > 0 ->
+        :: m > 0 ->
             d = 0;
             do
             :: d < 3 ->
                 /* A replica, asked with its own term, that has reached the token. */
                 if
 #ifdef REPLICA_COMPARES_POSITION_ONLY
-                :: last_position[d] >= n ->
+                :: last_position[d] >= m ->
 #else
                 :: last_term[d] == term[d] &&
-                   (last_term[d] > i || (last_term[d] == i && last_position[d] >= n)) ->
+                   (last_term[d] > i || (last_term[d] == i && last_position[d] >= m)) ->
 #endif
                     find(last_term[d], last_position[d], w, j);
                     assert(j > 0)
@@ -436,7 +437,7 @@
         i++
     :: else -> break
     od;
-    n = 0; i = 0; j = 0; d = 0
+    n = 0; m = 0; i = 0; j = 0; d = 0
 }
 inline check() {
     check_token(WRITE);
@@ -467,7 +468,7 @@
         d++
     :: else -> break
     od;
-    n = 0; i = 0; j = 0; d = 0
+    n = 0; m = 0; i = 0; j = 0; d = 0
 }
 #else
 inline check() { skip }
@@ -481,8 +482,8 @@
     do
     :: i <= TERMS ->
         n = released(i);
-        find(i, n, w, n);
-        if :: n > 0 -> j = 1 :: else fi;
+        find(i, n, w, m);
+        if :: m > 0 -> j = 1 :: else fi;
         i++
     :: else -> break
     od
@@ -503,6 +504,12 @@
     read_expected = read_expected + 2 * j
 }
 
+#ifdef READ_WITHOUT_ROUND
+#define round_complete true
+#else
+#define round_complete has_majority(read_confirmed)
+#endif
+
 inline release_read() {
     find(read_term, read_position, WRITE, i);
     assert((read_expected & 1) == 0 || i > 0);
@@ -516,7 +523,7 @@
 #endif
 
 active proctype group() {
-    byte d, t, r, n, i, j;
+    byte d, t, r, n, m, i, j;
 
     /* Term 1: database 0 is primary and all hold its start entry. */
     d_step {
@@ -645,7 +652,7 @@
         fi;
         d_step {
             arrive(t);
-            t = 0; n = 0; i = 0; j = 0
+            t = 0; n = 0; m = 0; i = 0; j = 0
         }
        }
 
@@ -667,13 +674,9 @@
 
     /* the gate and the round release it */
     :: d_step {
-        read_position > 0 && read_position <= released(read_term)
-#ifndef READ_WITHOUT_ROUND
-        && has_majority(read_confirmed)
-#endif
-        ->
+        read_position > 0 && read_position <= released(read_term) && round_complete ->
         release_read();
-        n = 0; i = 0; j = 0
+        n = 0; m = 0; i = 0; j = 0
        }
 #endif
     od
