--- a/specifications/group.pml
+++ b/specifications/group.pml
@@ -7,8 +7,8 @@
  * replaced are all included. A report "database d holds position q in term t" stays true for the home that received
  * it, so the gate opens as soon as it may; a property is checked against everything that could have been reported.
  *
- * Defines: PROPERTY (one of the names below), TERMS (2 to 4), RACERS (1 or 2 takeovers compete for one term), KEYS (0:
- * only the write without a key), and at most one seeded mistake.
+ * Defines: PROPERTY (one of the names below), TERMS (2 to 4), RACERS (1 or 2 takeovers compete for one term), KEYS and
+ * WRITES (0: leaves out the keyed write or the one without a key), and at most one seeded mistake.
  */
 #define LOST 1        /* what the gate released is part of every later history */
 #define REPLACED 2    /* nothing executed by a primary after its replacement is released */
@@ -31,6 +31,9 @@
 #ifndef KEYS
 #define KEYS 1
 #endif
+#ifndef WRITES
+#define WRITES 1
+#endif
 
 /* A log holds one start entry per term, the write without a key once, and the keyed write or its cancellation. */
 #define LENGTH (TERMS + 2)
@@ -600,6 +603,7 @@
         }
        }
 
+#if WRITES
     /* the write without a key */
     :: atomic {
         if
@@ -613,6 +617,7 @@
             t = 0
         }
        }
+#endif
 
 #if KEYS
     /* the keyed write, first time or repeated */
