--- a/libraries/http/wait_signal.cpp
+++ b/libraries/http/wait_signal.cpp
@@ -5,23 +5,36 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <utility>
+
 namespace http {
 
 namespace asio = boost::asio;
 
+// Takes itself off the list when its coroutine is destroyed while it waits.
 struct wait_signal::waiter {
+    waiter(wait_signal& signal, asio::steady_timer timer) : signal_{signal}, timer_{std::move(timer)} {
+        signal_.waiters_.push_back(this);
+    }
+    ~waiter() {
+        if (!is_notified_) {
+            signal_.waiters_.remove(this);
+        }
+    }
+    waiter(const waiter&) = delete;
+    waiter& operator=(const waiter&) = delete;
+    waiter(waiter&&) = delete;
+    waiter& operator=(waiter&&) = delete;
+
+    wait_signal& signal_;
     asio::steady_timer timer_;
     bool is_notified_ = false;
 };
 
 asio::awaitable<void> wait_signal::wait_for(base::clock::duration limit) {
-    waiter self{asio::steady_timer{co_await asio::this_coro::executor, limit}};
-    waiters_.push_back(&self);
+    waiter self{*this, asio::steady_timer{co_await asio::this_coro::executor, limit}};
     boost::system::error_code ignored;
     co_await self.timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    if (!self.is_notified_) {
-        waiters_.remove(&self);
-    }
 }
 
 asio::awaitable<void> wait_signal::wait() {
--- a/libraries/http/wait_signal.hpp
+++ b/libraries/http/wait_signal.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
 #include <list>
 
 namespace http {
