--- a/libraries/daemons/peer_server.hpp
+++ b/libraries/daemons/peer_server.hpp
@@ -34,9 +34,7 @@
                                 configuration_fetch fetch) {
     { handler.forward(std::move(message)) } -> std::same_as<boost::asio::awaitable<base::answer>>;
     { handler.check_suspicion(std::move(suspicion)) } -> std::same_as<boost::asio::awaitable<reachability>>;
-    {
-        handler.fetch_configuration(std::move(fetch))
-        } -> std::same_as<boost::asio::awaitable<configuration_offer>>;
+    { handler.fetch_configuration(fetch) } -> std::same_as<boost::asio::awaitable<configuration_offer>>;
 };
 
 /// Serves frames from other daemons on one listener, many questions on each connection at the same time.
@@ -209,7 +207,7 @@
         case frame_type::configuration_fetch:
             return answer_question(connection, question, read_configuration_fetch(question),
                                    [](Handler& handler, configuration_fetch fetch) {
-                                       return handler.fetch_configuration(std::move(fetch));
+                                       return handler.fetch_configuration(fetch);
                                    });
         default:
             return base::error{base::error_kind::frame_invalid, "a client sent a frame that is no question"};
--- a/tests/daemons/test_choices.cpp
+++ b/tests/daemons/test_choices.cpp
@@ -30,6 +30,7 @@
 
 std::vector<member> make_members(int count) {
     std::vector<member> members;
+    members.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         members.push_back(make_member(number));
     }
--- a/tests/daemons/test_peers.cpp
+++ b/tests/daemons/test_peers.cpp
@@ -223,6 +223,23 @@
     });
 }
 
+// Guards against a request that never left and is reported as possibly run, and against the reverse.
+TEST(frame_stream, only_frames_that_are_not_being_written_can_be_withdrawn) {
+    asio::io_context context;
+    auto socket = http::listener::open(context.get_executor(), local);
+    ASSERT_TRUE(socket);
+    asio::ip::tcp::socket connected{context};
+    connected.connect({asio::ip::make_address(local.address()), local.port()});
+    const auto stream = std::make_shared<frame_stream>(std::move(connected));
+    stream->send(frame{frame_type::request, 1, "first"});
+    stream->send(frame{frame_type::request, 2, "second"});
+    stream->close();
+    EXPECT_FALSE(stream->withdraw(1));
+    EXPECT_TRUE(stream->withdraw(2));
+    EXPECT_FALSE(stream->withdraw(2));
+    context.run();
+}
+
 // Guards against mixed answers when a peer answers in reverse order, repeats answers and invents ids.
 TEST(peer_client, repeated_and_unknown_ids_disturb_nothing) {
     peers running;
@@ -236,9 +253,10 @@
             questions.push_back(std::move(*question));
         }
         stream->send(answer_to(frame{frame_type::request, 999, {}}, "nobody"));
-        for (auto next = questions.rbegin(); next != questions.rend(); ++next) {
-            stream->send(answer_to(*next, statement_of(*next)));
-            stream->send(answer_to(*next, "repeated"));
+        std::ranges::reverse(questions);
+        for (const auto& question : questions) {
+            stream->send(answer_to(question, statement_of(question)));
+            stream->send(answer_to(question, "repeated"));
         }
         co_await http::sleep_for(time_limit);
     });
