Daemons: Probe the next member on a hash ring every other period

A crash test with other random numbers (std::minstd_rand in place of std::mt19937, whose seeding was the largest cost of a step) missed its bound of 4 s: with random targets alone a member may go unprobed for several periods. A longer bound was ruled out, because 6 s for a change of primary leave no more. Now every member is probed by its predecessor at least once a second, at the same number of datagrams.

--- a/libraries/daemons/membership.cpp
+++ b/libraries/daemons/membership.cpp
@@ -1,5 +1,7 @@
 #include <daemons/membership.hpp>
 
+#include <daemons/rendezvous.hpp>
+
 #include <algorithm>
 #include <bit>
 #include <iterator>
@@ -24,7 +26,7 @@
 class stepper {
 public:
     stepper(membership_state state, time_point now, std::uint64_t entropy)
-        : state_{std::move(state)}, now_{now}, random_{entropy} {}
+        : state_{std::move(state)}, now_{now}, random_{static_cast<std::minstd_rand::result_type>(entropy)} {}
 
     membership_step finish() && { return {std::move(state_), std::move(messages_), std::move(changes_)}; }
 
@@ -253,7 +255,12 @@
     // --- probes ---
 
     void start_probe() {
-        const auto target = next_to_probe();
+        // With random targets alone some members wait several periods for a probe, too long for a takeover
+        // within 6 s. Every other period therefore goes to the next member on a ring.
+        auto target = ++state_.periods_ % 2 == 1 ? successor() : next_to_probe();
+        if (!target) {
+            target = next_to_probe();
+        }
         if (!target) {
             ping_seed();
             return;
@@ -262,6 +269,29 @@
         send_ping(*target);
     }
 
+    // The live or leaving member that follows this one in the order of hashes, which scatters a rack's
+    // members whatever their names. One that is suspect already is passed over, so that neighbours that fail
+    // together are found one after the other without waiting for their deaths.
+    std::optional<std::string> successor() const {
+        constexpr std::string_view ring_key = "ring";
+        const auto own = rendezvous_weight(ring_key, state_.self_);
+        const std::string* best = nullptr;
+        std::uint64_t best_distance = 0;
+        for (const auto& [name, known] : state_.members_) {
+            const auto state = known.member_->state_;
+            if (name == state_.self_ || state == member_state::suspect || state == member_state::dead) {
+                continue;
+            }
+            // Unsigned subtraction wraps round the ring.
+            const auto distance = rendezvous_weight(ring_key, name) - own;
+            if (best == nullptr || distance < best_distance) {
+                best = &name;
+                best_distance = distance;
+            }
+        }
+        return best == nullptr ? std::nullopt : std::optional{*best};
+    }
+
     std::optional<std::string> next_to_probe() {
         for (int pass = 0; pass < 2; ++pass) {
             for (; state_.next_probe_ < state_.probe_order_.size(); ++state_.next_probe_) {
@@ -501,7 +531,8 @@
 
     membership_state state_;
     time_point now_;
-    std::mt19937 random_;
+    // Seeded anew in each step, which a generator with more state would make the largest cost of a step.
+    std::minstd_rand random_;
     std::vector<outgoing_datagram> messages_;
     std::vector<member_change> changes_;
 };
--- a/libraries/daemons/membership.hpp
+++ b/libraries/daemons/membership.hpp
@@ -91,6 +91,8 @@
     /// The names to probe in a random order, and the next of them.
     std::vector<std::string> probe_order_;
     std::size_t next_probe_ = 0;
+    /// Periods since the start.
+    std::uint64_t periods_ = 0;
     std::optional<member_probe> probe_;
     std::map<std::uint64_t, relayed_probe> relays_;
     std::uint64_t last_sequence_ = 0;
--- a/tests/daemons/test_membership.cpp
+++ b/tests/daemons/test_membership.cpp
@@ -171,9 +171,10 @@
     }));
 }
 
-// Guards against a crashed member that stays in use: a new home must be known within the takeover's 6 s.
+// Guards against a crashed member that stays in use. Of the 6 s for a change of primary, 2 s belong to the
+// new home's own checks and takeover. With random probes alone, one of the seeds from 1 to 20 missed it.
 TEST(membership, a_crash_is_seen_by_all_within_four_seconds) {
-    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
         auto members = make_fleet(10, seed);
         members.run(clock::duration{10'000});
         ASSERT_TRUE(members.all_see_all_live()) << seed;
