--- a/utilities/sassafrasctl/file_commands.cpp
+++ b/utilities/sassafrasctl/file_commands.cpp
@@ -5,9 +5,9 @@
 #include <operators/declaration_reader.hpp>
 #include <operators/publish.hpp>
 #include <operators/settings_reader.hpp>
+#include <platform/store_client.hpp>
 #include <utilities/sassafrasctl/coroutine.hpp>
 #include <utilities/sassafrasctl/print.hpp>
-#include <utilities/sassafrasctl/store_client.hpp>
 
 #include <algorithm>
 #include <filesystem>
@@ -98,9 +98,9 @@
     if (line.arguments_.size() != 1 || line.platform_.empty() || line.publisher_.empty()) {
         return report_usage_error("publish needs one directory, --platform and --publisher");
     }
-    const auto platform = base::endpoint::parse(line.platform_);
-    if (!platform) {
-        return report_usage_error("--platform: " + platform.last_reason().message());
+    const auto address = base::endpoint::parse(line.platform_);
+    if (!address) {
+        return report_usage_error("--platform: " + address.last_reason().message());
     }
     const auto collected = operators::collect_declarations(line.arguments_.front());
     if (!collected.value_) {
@@ -110,7 +110,7 @@
         [&line](operators::configuration_fields& fields) { fields.publisher_ = line.publisher_; });
     std::cout << "publishing " << wanted->services_.size() << " services with fingerprint "
               << operators::fingerprint_of(wanted) << std::endl;
-    store_client store{*platform, line.timeout_};
+    platform::store_client store{*address, line.timeout_};
     const operators::publication publication{wanted, line.based_on_};
     operators::timed_pause pause;
     const auto report = run_coroutine(operators::publish(store, publication, pause));
