Daemons: Let a paused member blame nobody in its test

Removing the excuse for a pause did not fail the test, since a suspect refutes before it is dead. The test now also refuses suspicion; with the excuse removed it fails.

--- a/tests/daemons/test_membership.cpp
+++ b/tests/daemons/test_membership.cpp
@@ -222,7 +222,7 @@
         members.resume(port_at(2));
         members.check([seed](std::uint16_t port, const member_change& change) {
             if (port == port_at(2)) {
-                EXPECT_NE(change.now_->state_, member_state::dead) << seed;
+                EXPECT_EQ(change.now_->state_, member_state::live) << seed;
             }
         });
         members.run(clock::duration{20'000});
