Daemons: Do not shorten the period after a pause

A late tick scheduled the next period at once, so that the probe sent on waking up was judged 100 ms later and its target suspected.

--- a/libraries/daemons/membership.cpp
+++ b/libraries/daemons/membership.cpp
@@ -37,7 +37,12 @@
         if (now_ >= state_.next_period_) {
             judge_probe();
             start_probe();
-            state_.next_period_ = std::max(state_.next_period_ + state_.settings_.period_, now_);
+            // Periods that a pause has skipped are not made up for: a shorter one would judge its probe
+            // early.
+            state_.next_period_ += state_.settings_.period_;
+            if (state_.next_period_ <= now_) {
+                state_.next_period_ = now_ + state_.settings_.period_;
+            }
         }
         if (now_ >= state_.next_exchange_) {
             request_list_from_anyone();
