--- a/tests/daemons/test_codec.cpp
+++ b/tests/daemons/test_codec.cpp
@@ -225,3 +225,11 @@
     }
     EXPECT_EQ(found, expected.str());
 }
+
+// Guards against a question for an outcome that breaks the connection between daemons: its access was once
+// beyond the greatest value that the decoder took.
+TEST(message_codec, every_access_survives_the_round_trip) {
+    for (const auto wanted : {base::access::read, base::access::write, base::access::settle}) {
+        expect_round_trip(sample_request().with([wanted](auto& fields) { fields.access_ = wanted; }));
+    }
+}
