--- a/libraries/backends/events.hpp
+++ b/libraries/backends/events.hpp
@@ -39,7 +39,7 @@
     311, "database_mismatch", severity::error,
     "The database at a declared address has another name and is not counted."};
 
-/// Every definition above, for the test against docs/events/backends.md.
+/// Every definition above, for the test against docs/events.md.
 inline constexpr std::array all{&group_watch_started, &group_watch_stopped,  &primary_adopted,
                                 &takeover_started,    &takeover_won,         &takeover_failed,
                                 &takeover_withheld,   &database_unreachable, &database_reachable,
--- a/libraries/backends/load_events.hpp
+++ b/libraries/backends/load_events.hpp
@@ -4,7 +4,7 @@
 
 #include <array>
 
-/// Events of the policy under load, numbered from 350 to 399. `docs/events/backends_load.md` lists them.
+/// Events of the policy under load, numbered from 350 to 399. `docs/events.md` lists them.
 namespace backends::load_events {
 
 inline constexpr base::event_definition queue_refusing{
--- a/libraries/callers/events.hpp
+++ b/libraries/callers/events.hpp
@@ -4,13 +4,19 @@
 
 #include <array>
 
-/// Events of this package, numbered from 200.
+/// Events of the front end for callers, numbered from 200. `docs/events.md` lists them.
 namespace callers::events {
 
-inline constexpr base::event_definition package_loaded{200, "package_loaded", base::severity::debug,
-                                                       "The package was set up."};
+using base::severity;
 
-/// Every definition above, for the test against docs/events.md.
-inline constexpr std::array all{&package_loaded};
+inline constexpr base::event_definition request_refused{200, "request_refused", severity::debug,
+                                                        "A request could not be read and was refused."};
+inline constexpr base::event_definition token_refused{
+    201, "token_refused", severity::warning, "A session token was forged, damaged or of another service."};
+inline constexpr base::event_definition outcome_unknown{
+    202, "outcome_unknown", severity::warning, "A caller was told that the outcome of a request is unknown."};
+
+/// Every definition above, for the test against the catalogue.
+inline constexpr std::array all{&request_refused, &token_refused, &outcome_unknown};
 
 } // namespace callers::events
--- a/libraries/callers/front_end.hpp
+++ b/libraries/callers/front_end.hpp
@@ -12,6 +12,7 @@
 #include <concepts>
 #include <cstddef>
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace callers {
@@ -22,6 +23,12 @@
     { service.answer(std::move(request)) } -> std::same_as<boost::asio::awaitable<base::answer>>;
 };
 
+/// Logs that a request could not be read. Thread safety: any thread.
+void log_refusal(const base::error& reason);
+
+/// Logs that a caller got no certain answer. Thread safety: any thread.
+void log_unknown_outcome(const std::string& service, const base::answer& answer);
+
 /// The HTTP front end for callers: decodes, asks the service, encodes. Satisfies `http::request_handler`.
 /// Thread safety: one for each thread.
 template <request_service Service>
@@ -55,11 +62,15 @@
 
     boost::asio::awaitable<http::response> serve(base::result<base::request> request) {
         if (!request) {
+            log_refusal(request.last_reason());
             co_return encode_refusal(request.last_reason());
         }
         const auto service = (*request)->service_;
         auto pending = service_->answer(std::move(*request));
         const auto answer = co_await std::move(pending);
+        if (answer->outcome_ == base::outcome::unknown) {
+            log_unknown_outcome(service, answer);
+        }
         co_return encode_answer(answer, service, *signer_);
     }
 
--- a/libraries/daemons/events.hpp
+++ b/libraries/daemons/events.hpp
@@ -40,7 +40,7 @@
     622, "configuration_fetch_failed", base::severity::info,
     "A peer did not deliver its configuration; the next one is asked."};
 
-/// Every definition above, for the test against docs/events/daemons.md.
+/// Every definition above, for the test against docs/events.md.
 inline constexpr std::array all{&member_joined,
                                 &member_suspected,
                                 &member_returned,
--- a/libraries/operators/events.hpp
+++ b/libraries/operators/events.hpp
@@ -29,7 +29,7 @@
     514, "publish_failed", base::severity::error,
     "A publication ended with an error before its effect could be confirmed."};
 
-/// Every definition above, for the test against docs/events/operators.md.
+/// Every definition above, for the test against docs/events.md.
 inline constexpr std::array all{&settings_problem,        &publish_answer_lost, &configuration_published,
                                 &configuration_unchanged, &publish_conflict,    &publish_failed};
 
--- a/libraries/platform/events.hpp
+++ b/libraries/platform/events.hpp
@@ -4,7 +4,7 @@
 
 #include <array>
 
-/// Events of this package, numbered from 400 to 499. `docs/events/platform.md` lists them.
+/// Events of this package, numbered from 400 to 499. `docs/events.md` lists them.
 namespace platform::events {
 
 inline constexpr base::event_definition store_unavailable{
@@ -30,7 +30,7 @@
     407, "watch_failed", base::severity::warning,
     "A watch of the store failed and is repeated after a pause."};
 
-/// Every definition above, for the test against docs/events/platform.md.
+/// Every definition above, for the test against docs/events.md.
 inline constexpr std::array all{&store_unavailable,   &store_answer_lost,   &store_call_limited,
                                 &store_reached_again, &watched_key_changed, &watched_key_older,
                                 &watched_key_absent,  &watch_failed};
--- a/libraries/proxy/attempt.cpp
+++ b/libraries/proxy/attempt.cpp
@@ -9,6 +9,9 @@
 constexpr base::clock::duration pause_without_primary{1'000};
 
 std::string message_of(const attempt& last) {
+    if (last->end_ == backends::attempt_end::settled_cancelled) {
+        return "the idempotency key is cancelled, so its request has not run and cannot run any more";
+    }
     return last->reason_.empty() ? "the database group did not serve the request" : last->reason_;
 }
 
--- a/libraries/proxy/events.hpp
+++ b/libraries/proxy/events.hpp
@@ -4,7 +4,7 @@
 
 #include <array>
 
-/// Events of the daemon as a whole, numbered from 100. `docs/events/proxy.md` lists them.
+/// Events of the daemon as a whole, numbered from 100. `docs/events.md` lists them.
 namespace proxy::events {
 
 using base::severity;
--- a/libraries/proxy/operator_codec.cpp
+++ b/libraries/proxy/operator_codec.cpp
@@ -18,6 +18,9 @@
 
 namespace json = boost::json;
 
+constexpr double median = 0.5;
+constexpr double quantile_99 = 0.99;
+
 std::string_view name_of(base::outcome result) {
     switch (result) {
     case base::outcome::done:
@@ -30,17 +33,12 @@
     return "unknown";
 }
 
-double to_milliseconds(std::chrono::microseconds length) {
-    constexpr double microseconds_in_a_millisecond = 1'000.0;
-    return static_cast<double>(length.count()) / microseconds_in_a_millisecond;
-}
-
 json::array encode_buckets(const base::latency_buckets& buckets) {
     json::array encoded;
     for (std::size_t index = 0; index < buckets->counts_.size(); ++index) {
         json::object bucket;
         if (index < base::latency_bounds_us.size()) {
-            bucket["up_to_ms"] = to_milliseconds(std::chrono::microseconds{base::latency_bounds_us[index]});
+            bucket["up_to_us"] = base::latency_bounds_us[index];
         }
         bucket["count"] = buckets->counts_[index];
         encoded.push_back(std::move(bucket));
@@ -55,9 +53,9 @@
     series["rank"] = key->rank_;
     series["outcome"] = name_of(key->outcome_);
     series["count"] = base::count_of(buckets);
-    series["median_ms"] = to_milliseconds(base::estimate_quantile(buckets, 0.5));
-    series["quantile_99_ms"] = to_milliseconds(base::estimate_quantile(buckets, 0.99));
-    series["longest_ms"] = to_milliseconds(std::chrono::microseconds{buckets->longest_us_});
+    series["median_us"] = base::estimate_quantile(buckets, median).count();
+    series["quantile_99_us"] = base::estimate_quantile(buckets, quantile_99).count();
+    series["longest_us"] = buckets->longest_us_;
     series["histogram"] = encode_buckets(buckets);
     return series;
 }
--- a/tests/backends/test_decisions.cpp
+++ b/tests/backends/test_decisions.cpp
@@ -8,6 +8,8 @@
 #include <backends/takeover.hpp>
 #include <backends/takeover_damping.hpp>
 
+#include <tests/support/event_catalogue.hpp>
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
@@ -278,23 +280,5 @@
 
 // Guards against a catalogue that differs from the events in the code.
 TEST(events, catalogue_lists_every_event) {
-    constexpr std::array severities{"debug", "info", "warning", "error"};
-    std::ostringstream expected;
-    int last = 299;
-    for (const auto* event : backends::events::all) {
-        EXPECT_GT(event->number_, last);
-        last = event->number_;
-        expected << "| " << event->number_ << " | " << event->name_ << " | "
-                 << severities.at(static_cast<std::size_t>(event->severity_)) << " | " << event->summary_
-                 << " |\n";
-    }
-    EXPECT_LT(last, 350);
-    std::ifstream file{SASSAFRASDEAL_SOURCE_FOLDER "/docs/events/backends.md"};
-    std::ostringstream found;
-    for (std::string line; std::getline(file, line);) {
-        if (line.rfind("| 3", 0) == 0 && line < "| 350") {
-            found << line << "\n";
-        }
-    }
-    EXPECT_EQ(found.str(), expected.str());
+    support::expect_catalogue(backends::events::all, 300, 349);
 }
--- a/tests/callers/test_callers.cpp
+++ b/tests/callers/test_callers.cpp
@@ -3,6 +3,8 @@
 #include <callers/front_end.hpp>
 #include <callers/request_codec.hpp>
 
+#include <tests/support/event_catalogue.hpp>
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
@@ -178,3 +180,8 @@
     ASSERT_TRUE(token);
     EXPECT_EQ(signer.decode(*token)->position(), (base::log_position{2, 7}));
 }
+
+// Guards against a catalogue that differs from what the package logs.
+TEST(events, catalogue_lists_every_definition) {
+    support::expect_catalogue(callers::events::all, 200, 299);
+}
--- a/tests/daemons/test_codec.cpp
+++ b/tests/daemons/test_codec.cpp
@@ -2,6 +2,8 @@
 #include <daemons/frame_codec.hpp>
 #include <daemons/message_codec.hpp>
 
+#include <tests/support/event_catalogue.hpp>
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
@@ -205,25 +207,7 @@
 
 // Guards against a catalogue that misses an event or describes it otherwise.
 TEST(events, catalogue_lists_exactly_the_defined_events) {
-    const auto level = [](base::severity value) {
-        constexpr std::array names{"debug", "info", "warning", "error"};
-        return names.at(static_cast<std::size_t>(value));
-    };
-    std::ostringstream expected;
-    for (const auto* event : events::all) {
-        expected << "| " << event->number_ << " | " << event->name_ << " | " << level(event->severity_)
-                 << " | " << event->summary_ << " |\n";
-        EXPECT_TRUE(event->number_ >= 600 && event->number_ <= 699) << event->name_;
-    }
-    std::ifstream file{std::string{SASSAFRASDEAL_SOURCE_FOLDER} + "/docs/events/daemons.md"};
-    std::string line;
-    std::string found;
-    while (std::getline(file, line)) {
-        if (line.starts_with("| 6")) {
-            found += line + "\n";
-        }
-    }
-    EXPECT_EQ(found, expected.str());
+    support::expect_catalogue(events::all, 600, 699);
 }
 
 // Guards against a question for an outcome that breaks the connection between daemons: its access was once
--- a/tests/operators/test_command_texts.cpp
+++ b/tests/operators/test_command_texts.cpp
@@ -4,20 +4,15 @@
 #include <operators/request_words.hpp>
 #include <tests/operators/samples.hpp>
 
+#include <tests/support/event_catalogue.hpp>
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <array>
 #include <set>
 
-namespace {
-
-std::string_view severity_name(base::severity level) {
-    constexpr std::array<std::string_view, 4> names{"debug", "info", "warning", "error"};
-    return names.at(static_cast<std::size_t>(level));
-}
-
-} // namespace
+namespace {} // namespace
 
 // Guards against a request that is explained other than it was typed.
 TEST(command_texts, request_words_become_the_body_of_a_request) {
@@ -75,18 +70,5 @@
 
 // Guards against a catalogue that differs from the events that are logged.
 TEST(operator_events, the_catalogue_lists_every_event) {
-    const auto page = samples::read_source_file("docs/events/operators.md");
-    EXPECT_NE(page.find("## operators\n"), std::string::npos);
-    std::set<int> numbers;
-    for (const auto* event : operators::events::all) {
-        EXPECT_TRUE(event->number_ >= 500 && event->number_ <= 599);
-        EXPECT_TRUE(numbers.insert(event->number_).second);
-        const auto row = "| " + std::to_string(event->number_) + " | " + std::string{event->name_} + " | " +
-                         std::string{severity_name(event->severity_)} + " | " + std::string{event->summary_} +
-                         " |\n";
-        EXPECT_NE(page.find(row), std::string::npos) << row;
-    }
-    const auto rows = std::count(page.begin(), page.end(), '\n');
-    EXPECT_EQ(static_cast<std::size_t>(rows), operators::events::all.size() + 4)
-        << "heading, table head, rows";
+    support::expect_catalogue(operators::events::all, 500, 599);
 }
