Backends: Let the tests take any free port of their range

A run of test_backends beside another one crashed in the first monitor test: the listener could not be opened. The cause is likely an outgoing connection that had been given port 39400 to 39402, which lie in the range for outgoing connections; the failure was seen once and not reproduced. The tests now try the ports of their range in turn, starting at one that depends on the process, and stop with a message when none is free.

--- a/tests/backends/test_database_codec.cpp
+++ b/tests/backends/test_database_codec.cpp
@@ -1,3 +1,5 @@
+#include "test_listener.hpp"
+
 #include <backends/database_client.hpp>
 #include <backends/database_codec.hpp>
 
@@ -12,7 +14,6 @@
 namespace asio = boost::asio;
 using namespace backends;
 
-const base::endpoint local{"127.0.0.1", 39'410};
 constexpr base::clock::duration time_limit{5'000};
 
 // Answers every request as if it were the one with id 7.
@@ -88,16 +89,15 @@
 // Guards against a late answer that is taken for the answer to another request.
 TEST(database_client, an_answer_with_another_id_closes_the_connection) {
     asio::io_context context;
-    auto socket = http::listener::open(context.get_executor(), local);
-    ASSERT_TRUE(socket);
+    auto opened = test_listener::open(context.get_executor());
     auto server = std::make_shared<http::server<wrong_id_handler>>(
-        context.get_executor(), std::move(*socket), wrong_id_handler{}, http::limits{}, nullptr, 5);
+        context.get_executor(), std::move(opened.socket_), wrong_id_handler{}, http::limits{}, nullptr, 5);
     server->start();
     bool finished = false;
     asio::co_spawn(
         context,
         [&]() -> asio::awaitable<void> {
-            auto connected = co_await database_client::connect(local, time_limit);
+            auto connected = co_await database_client::connect(opened.address_, time_limit);
             EXPECT_TRUE(connected);
             const takeover_request request{.step_ = takeover_step::raise, .term_ = 3, .proposer_ = "home"};
             const auto answer = co_await connected->raise(request, time_limit);
--- a/tests/backends/test_group_monitor.cpp
+++ b/tests/backends/test_group_monitor.cpp
@@ -1,4 +1,5 @@
 #include "group_model.hpp"
+#include "test_listener.hpp"
 
 #include <backends/database_client.hpp>
 #include <backends/group_monitor.hpp>
@@ -19,7 +20,6 @@
 using namespace backends;
 using base::clock;
 
-constexpr std::uint16_t first_port = 39'400;
 constexpr clock::duration time_limit{8'000};
 
 // One database of the group model behind HTTP.
@@ -46,20 +46,15 @@
     explicit test_group(asio::io_context& context) {
         for (std::size_t index = 0; index < databases_.size(); ++index) {
             databases_[index].name_ = "d" + std::to_string(index);
-            const auto address = address_of(index);
-            auto socket = http::listener::open(context.get_executor(), address);
-            EXPECT_TRUE(socket);
+            auto opened = test_listener::open(context.get_executor());
+            addresses_[index] = opened.address_;
             servers_[index] = std::make_shared<http::server<database_handler>>(
-                context.get_executor(), std::move(*socket), database_handler{this, index}, http::limits{},
-                nullptr, 50);
+                context.get_executor(), std::move(opened.socket_), database_handler{this, index},
+                http::limits{}, nullptr, 50);
             servers_[index]->start();
         }
     }
 
-    static base::endpoint address_of(std::size_t index) {
-        return {"127.0.0.1", static_cast<std::uint16_t>(first_port + index)};
-    }
-
     void kill(std::size_t index) {
         servers_[index]->close();
         is_alive_[index] = false;
@@ -83,6 +78,7 @@
     json::object answer(std::size_t index, const std::string& path, const json::object& request);
 
     std::array<served_database, 3> databases_;
+    std::array<base::endpoint, 3> addresses_;
     std::array<std::shared_ptr<http::server<database_handler>>, 3> servers_;
     std::array<bool, 3> is_alive_{true, true, true};
     bool replicates_ = true;
@@ -162,7 +158,7 @@
         group_monitor_settings settings{.group_ = "ledger", .proposer_ = "home-run-1", .random_seed_ = 7};
         for (std::size_t index = 0; index < 3; ++index) {
             settings.databases_.push_back(
-                {.name_ = "d" + std::to_string(index), .address_ = test_group::address_of(index)});
+                {.name_ = "d" + std::to_string(index), .address_ = databases_.addresses_[index]});
         }
         monitor_ = std::make_shared<monitor>(context.get_executor(), settings, database_client_connector{},
                                              time_, fixed_check{&found_, &calls_});
