--- a/libraries/backends/database_status.hpp
+++ b/libraries/backends/database_status.hpp
@@ -36,8 +36,10 @@
 [[nodiscard]] database_status merge(const database_status& earlier, const database_status& later);
 
 /// Returns whether the database holds `position`: its term and its last entry are of the term of `position`
-/// and the entry is at or beyond it. A database that has granted a higher term no longer counts, because the
-/// primary of the lower term may have been replaced.
+/// and the entry is at or beyond it. A database that has granted a higher term no longer counts: its new
+/// primary may have sent it the log only up to an entry of the lower term. The model finds a lost write
+/// without this
+/// (`HOLD_IGNORES_DATABASE_TERM` in specifications/group.pml).
 [[nodiscard]] bool holds(const database_status& status, base::log_position position) noexcept;
 
 } // namespace backends
--- a/tests/backends/test_decisions.cpp
+++ b/tests/backends/test_decisions.cpp
@@ -282,3 +282,13 @@
 TEST(events, catalogue_lists_every_event) {
     support::expect_catalogue(backends::events::all, 300, 349);
 }
+
+// Guards against a write that is acknowledged on the strength of a database that a later primary has only
+// begun to fill: the model checker finds it lost after the next takeover.
+TEST(database_status, a_database_of_a_later_term_holds_nothing_of_an_earlier_one) {
+    const base::log_position written{1, 2};
+    const database_status same_term{database_status_fields{.database_ = "a", .term_ = 1, .last_ = written}};
+    const auto later_term = same_term.with([](auto& fields) { fields.term_ = 3; });
+    EXPECT_TRUE(holds(same_term, written));
+    EXPECT_FALSE(holds(later_term, written));
+}
