--- a/libraries/backends/database_client.cpp
+++ b/libraries/backends/database_client.cpp
@@ -37,13 +37,13 @@
 
 } // namespace
 
-asio::awaitable<base::result<database_client>> database_client::connect(base::endpoint address,
-                                                                        base::clock::duration timeout) {
+asio::awaitable<base::result<database_client>>
+database_client::connect(base::endpoint address, base::clock::duration timeout, std::string caller) {
     auto connected = co_await http::client_connection::connect(std::move(address), timeout);
     if (!connected) {
         co_return connected.last_reason();
     }
-    co_return database_client{std::move(*connected)};
+    co_return database_client{std::move(*connected), std::move(caller)};
 }
 
 asio::awaitable<base::result<database_status>> database_client::status(std::optional<status_wait> wait,
@@ -104,6 +104,11 @@
 asio::awaitable<base::result<std::string>> database_client::post(std::string path, std::string body,
                                                                  base::clock::duration timeout) {
     auto message = http::json_post(std::move(path), std::move(body));
+    if (!caller_.empty()) {
+        message = message.with([this](http::request_fields& fields) {
+            fields.headers_.push_back({"Sassafrasdeal-From", caller_});
+        });
+    }
     auto answer = co_await connection_.exchange(std::move(message), timeout);
     if (!answer) {
         co_return answer.last_reason();
--- a/libraries/backends/database_client.hpp
+++ b/libraries/backends/database_client.hpp
@@ -12,9 +12,10 @@
 /// A `database_connection` over HTTP/1.1. Thread safety: used by the thread that connected it only.
 class database_client {
 public:
-    /// Connects to a database. Errors: `timeout`, `connection_failed`; nothing was sent.
+    /// Connects to a database. Each request names `caller`, the connecting daemon, unless it is empty.
+    /// Errors: `timeout`, `connection_failed`; nothing was sent.
     [[nodiscard]] static boost::asio::awaitable<base::result<database_client>>
-    connect(base::endpoint address, base::clock::duration timeout);
+    connect(base::endpoint address, base::clock::duration timeout, std::string caller = {});
 
     /// Asks for the status. With `wait` the database may hold the answer back for `wait->time_`, which has to
     /// be less than `timeout`.
@@ -40,13 +41,15 @@
     void close() noexcept { connection_.close(); }
 
 private:
-    explicit database_client(http::client_connection connection) : connection_{std::move(connection)} {}
+    database_client(http::client_connection connection, std::string caller)
+        : connection_{std::move(connection)}, caller_{std::move(caller)} {}
 
     // Returns the body of the answer. Errors: as the class's.
     [[nodiscard]] boost::asio::awaitable<base::result<std::string>> post(std::string path, std::string body,
                                                                          base::clock::duration timeout);
 
     http::client_connection connection_;
+    std::string caller_;
     std::uint64_t last_id_ = 0;
 };
 
@@ -54,9 +57,12 @@
 struct database_client_connector {
     using connection = database_client;
 
+    /// Name of the connecting daemon, for databases that tell their callers apart.
+    std::string caller_;
+
     [[nodiscard]] boost::asio::awaitable<base::result<database_client>>
     connect(base::endpoint address, base::clock::duration timeout) const {
-        return database_client::connect(std::move(address), timeout);
+        return database_client::connect(std::move(address), timeout, caller_);
     }
 };
 
--- a/libraries/proxy/database_probe.cpp
+++ b/libraries/proxy/database_probe.cpp
@@ -2,6 +2,8 @@
 
 #include <backends/database_client.hpp>
 
+#include <utility>
+
 namespace proxy {
 
 namespace {
@@ -12,8 +14,8 @@
 
 } // namespace
 
-boost::asio::awaitable<daemons::reachability> probe_database(base::endpoint database) {
-    auto client = co_await backends::database_client::connect(database, connect_limit);
+boost::asio::awaitable<daemons::reachability> probe_database(base::endpoint database, std::string prober) {
+    auto client = co_await backends::database_client::connect(database, connect_limit, std::move(prober));
     if (!client) {
         co_return daemons::reachability::unreachable;
     }
--- a/libraries/proxy/worker.hpp
+++ b/libraries/proxy/worker.hpp
@@ -165,7 +165,7 @@
         }
 
         boost::asio::awaitable<daemons::reachability> check_suspicion(daemons::suspicion_check question) {
-            return probe_database(question->database_);
+            return probe_database(question->database_, owner_.state_.settings()->name_);
         }
 
         boost::asio::awaitable<daemons::configuration_offer>
@@ -203,8 +203,8 @@
                                                   std::to_string(random_()),
                                      .random_seed_ = random_()};
         auto opened = std::make_shared<home>(context_.get_executor(), declaration, identity,
-                                             backends::database_client_connector{}, clock_,
-                                             suspicion_asker{state_, peers_, group});
+                                             backends::database_client_connector{state_.settings()->name_},
+                                             clock_, suspicion_asker{state_, peers_, group});
         opened->start();
         homes_.emplace(group, opened);
         return opened;
