--- a/libraries/base/answer.cpp
+++ b/libraries/base/answer.cpp
@@ -2,6 +2,18 @@
 
 namespace base {
 
+std::string_view name_of(outcome value) noexcept {
+    switch (value) {
+    case outcome::done:
+        return "done";
+    case outcome::not_run:
+        return "not_run";
+    case outcome::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 answer not_run(error reason, clock::duration retry_after) {
     return answer_fields{.outcome_ = outcome::not_run,
                          .results_ = {},
--- a/libraries/base/answer.hpp
+++ b/libraries/base/answer.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace base {
@@ -23,6 +24,9 @@
     unknown,
 };
 
+/// Returns `done`, `not_run` or `unknown`, as callers and operators see it.
+[[nodiscard]] std::string_view name_of(outcome value) noexcept;
+
 /// Which kind of database served a request.
 enum class database_role : std::uint8_t { none, primary, replica };
 
--- a/libraries/callers/answer_codec.cpp
+++ b/libraries/callers/answer_codec.cpp
@@ -22,18 +22,6 @@
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
 
-std::string_view name_of(base::outcome outcome) {
-    switch (outcome) {
-    case base::outcome::done:
-        return "done";
-    case base::outcome::not_run:
-        return "not_run";
-    case base::outcome::unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 json::object describe(const base::error& reason) {
     json::object description;
     description["kind"] = base::name_of(reason.kind());
@@ -90,7 +78,7 @@
 http::response encode_answer(const base::answer& answer, const std::string& service,
                              const token_signer& signer) {
     json::object body;
-    body["outcome"] = name_of(answer->outcome_);
+    body["outcome"] = base::name_of(answer->outcome_);
     json::array results;
     for (const auto& result : answer->results_) {
         results.emplace_back(result);
@@ -120,7 +108,7 @@
 
 http::response encode_refusal(const base::error& reason) {
     json::object body;
-    body["outcome"] = name_of(base::outcome::not_run);
+    body["outcome"] = base::name_of(base::outcome::not_run);
     body["results"] = json::array{};
     body["error"] = describe(reason);
     const auto status = status_for(base::outcome::not_run, reason);
--- a/libraries/callers/session_token.cpp
+++ b/libraries/callers/session_token.cpp
@@ -1,10 +1,9 @@
 #include <callers/session_token.hpp>
 
+#include <base/sha256.hpp>
+
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
 
-#include <array>
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -20,17 +19,6 @@
     return base::error{base::error_kind::token_invalid, "the session token was not issued by this system"};
 }
 
-std::string to_hexadecimal(const unsigned char* bytes, std::size_t count) {
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    text.reserve(count * 2);
-    for (std::size_t index = 0; index < count; ++index) {
-        text.push_back(digits[bytes[index] >> 4U]);
-        text.push_back(digits[bytes[index] & 15U]);
-    }
-    return text;
-}
-
 std::optional<std::uint64_t> take_number(std::string_view& text) {
     std::uint64_t number = 0;
     const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -83,11 +71,7 @@
 }
 
 std::string token_signer::signature_of(std::string_view content) const {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int length = 0;
-    HMAC(EVP_sha256(), secret_.data(), static_cast<int>(secret_.size()),
-         reinterpret_cast<const unsigned char*>(content.data()), content.size(), digest.data(), &length);
-    return to_hexadecimal(digest.data(), length);
+    return base::hmac_sha256_of(secret_, content);
 }
 
 } // namespace callers
--- a/libraries/operators/configuration_codec.cpp
+++ b/libraries/operators/configuration_codec.cpp
@@ -1,11 +1,12 @@
 #include <operators/configuration_codec.hpp>
 
+#include <base/sha256.hpp>
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
-#include <openssl/evp.h>
 
 #include <algorithm>
 #include <array>
@@ -246,16 +247,6 @@
     return std::adjacent_find(services.begin(), services.end(), not_before) == services.end();
 }
 
-std::string to_hexadecimal(const unsigned char* bytes, std::size_t count) {
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    for (std::size_t index = 0; index < count; ++index) {
-        text.push_back(digits[bytes[index] >> 4U]);
-        text.push_back(digits[bytes[index] & 0x0FU]);
-    }
-    return text;
-}
-
 } // namespace
 
 std::string encode_configuration(const configuration& source) {
@@ -294,11 +285,7 @@
 }
 
 std::string fingerprint_of(const configuration& source) {
-    const auto content = json::serialize(encode(source->services_));
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int length = 0;
-    EVP_Digest(content.data(), content.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    return to_hexadecimal(digest.data(), length);
+    return base::sha256_of(json::serialize(encode(source->services_)));
 }
 
 } // namespace operators
--- a/libraries/proxy/fingerprint.cpp
+++ b/libraries/proxy/fingerprint.cpp
@@ -1,8 +1,7 @@
 #include <proxy/fingerprint.hpp>
 
-#include <openssl/sha.h>
+#include <base/sha256.hpp>
 
-#include <array>
 #include <string_view>
 
 namespace proxy {
@@ -22,16 +21,7 @@
     for (const auto& statement : request->statements_) {
         append_part(content, statement);
     }
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char*>(content.data()), content.size(), digest.data());
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    text.reserve(digest.size() * 2);
-    for (const auto byte : digest) {
-        text.push_back(digits[byte >> 4U]);
-        text.push_back(digits[byte & 15U]);
-    }
-    return text;
+    return base::sha256_of(content);
 }
 
 std::string recorded_key_of(const base::request& request) {
--- a/libraries/proxy/operator_codec.cpp
+++ b/libraries/proxy/operator_codec.cpp
@@ -21,18 +21,6 @@
 constexpr double median = 0.5;
 constexpr double quantile_99 = 0.99;
 
-std::string_view name_of(base::outcome result) {
-    switch (result) {
-    case base::outcome::done:
-        return "done";
-    case base::outcome::not_run:
-        return "not_run";
-    case base::outcome::unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 json::array encode_buckets(const base::latency_buckets& buckets) {
     json::array encoded;
     for (std::size_t index = 0; index < buckets->counts_.size(); ++index) {
@@ -51,7 +39,7 @@
     series["service"] = key->service_;
     series["tenant"] = key->tenant_;
     series["rank"] = key->rank_;
-    series["outcome"] = name_of(key->outcome_);
+    series["outcome"] = base::name_of(key->outcome_);
     series["count"] = base::count_of(buckets);
     series["median_us"] = base::estimate_quantile(buckets, median).count();
     series["quantile_99_us"] = base::estimate_quantile(buckets, quantile_99).count();
--- a/tests/base/test_base.cpp
+++ b/tests/base/test_base.cpp
@@ -3,6 +3,7 @@
 #include <base/ini_document.hpp>
 #include <base/log_position.hpp>
 #include <base/request.hpp>
+#include <base/sha256.hpp>
 #include <base/snapshot.hpp>
 
 #include <gtest/gtest.h>
@@ -88,3 +89,10 @@
                               RC_ASSERT(merged == one || merged == other);
                           }));
 }
+
+// Guards against a digest that other daemons or versions would compute otherwise (FIPS 180-4 and RFC 4231).
+TEST(sha256, gives_the_published_test_values) {
+    EXPECT_EQ(base::sha256_of("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    EXPECT_EQ(base::hmac_sha256_of("Jefe", "what do ya want for nothing?"),
+              "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+}
