--- /dev/null
+++ b/tests/proxy/test_entry.cpp
@@ -0,0 +1,158 @@
+#include <proxy/entry.hpp>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace {
+
+namespace asio = boost::asio;
+using base::clock;
+using base::error_kind;
+using base::outcome;
+
+using forward_result = base::result<base::answer>;
+
+const base::answer done{base::answer_fields{.outcome_ = outcome::done}};
+const base::error unsent{error_kind::connection_failed, "refused"};
+const base::error lost{error_kind::answer_lost, "reset"};
+
+/// Serves the groups whose home is this daemon.
+struct own_homes {
+    asio::awaitable<base::answer> execute(proxy::routed_request routed) {
+        asked_.push_back(routed);
+        co_return done;
+    }
+    std::vector<proxy::routed_request> asked_;
+};
+
+/// Gives the scripted results in turn, the last one again and again.
+struct scripted_forwarder {
+    asio::awaitable<forward_result> forward(base::endpoint peer, base::request request,
+                                            clock::duration /*timeout*/) {
+        peers_.push_back(peer.port());
+        requests_.push_back(request);
+        const forward_result next = script_.front();
+        if (script_.size() > 1) {
+            script_.pop_front();
+        }
+        co_return next;
+    }
+    std::deque<forward_result> script_;
+    std::vector<std::uint16_t> peers_;
+    std::vector<base::request> requests_;
+};
+
+daemons::member member_of(const std::string& name, std::uint16_t port) {
+    return daemons::member_fields{.name_ = name, .address_ = {"127.0.0.1", port}};
+}
+
+operators::configuration sample_configuration() {
+    const operators::service_declaration ledger{operators::service_declaration_fields{
+        .name_ = "ledger",
+        .ranks_ = {{.name_ = "payout", .deadline_ = clock::duration{300}}},
+        .read_classes_ = {{.name_ = "fresh"}}}};
+    return operators::configuration_fields{.revision_ = 1, .services_ = {ledger}};
+}
+
+class entry : public testing::Test {
+protected:
+    using tested_entry = proxy::entry<own_homes, scripted_forwarder, base::clock>;
+
+    base::answer ask(const base::request& request, std::deque<forward_result> script) {
+        forwarder_.script_ = std::move(script);
+        forwarder_.requests_.clear();
+        asio::io_context context{1};
+        std::optional<base::answer> answered;
+        const auto task = [&]() -> asio::awaitable<void> {
+            answered = co_await entry_.answer(request);
+        };
+        asio::co_spawn(context, task, asio::detached);
+        context.run_for(std::chrono::seconds{20});
+        EXPECT_TRUE(answered) << "the request hangs";
+        return answered.value_or(base::answer{base::answer_fields{}});
+    }
+
+    static base::request read_request() {
+        return base::request_fields{
+            .service_ = "ledger", .tenant_ = "zagreb", .rank_ = "payout", .statements_ = {"get a"}};
+    }
+
+    static base::request write_request(std::optional<std::string> key) {
+        return read_request().with([&](auto& fields) {
+            fields.access_ = base::access::write;
+            fields.statements_ = {"add a 1"};
+            fields.idempotency_key_ = key;
+        });
+    }
+
+    static base::request question() {
+        return write_request("k").with([](auto& fields) {
+            fields.access_ = base::access::settle;
+            fields.statements_.clear();
+        });
+    }
+
+    void set_members(std::vector<daemons::member> members) {
+        members_.publish(daemons::member_list{std::move(members)});
+    }
+
+    base::snapshot<operators::configuration> configuration_{sample_configuration()};
+    base::snapshot<daemons::member_list> members_{daemons::member_list{{member_of("entry-2", 2)}}};
+    proxy::daemon_state state_{operators::daemon_settings_fields{.name_ = "entry-1"}, "run", configuration_,
+                               members_};
+    own_homes homes_;
+    scripted_forwarder forwarder_;
+    base::clock clock_;
+    tested_entry entry_{state_, homes_, forwarder_, clock_};
+};
+
+base::answer refused(error_kind kind) {
+    return base::not_run(base::error{kind, "refused by the home"}, clock::duration{50});
+}
+
+} // namespace
+
+// Guards against requests that leave the daemon although it is the home, and that lose their deadline.
+TEST_F(entry, serves_the_groups_of_this_daemon_here) {
+    set_members({member_of("entry-1", 1)});
+    EXPECT_EQ(ask(read_request(), {unsent})->outcome_, outcome::done);
+    EXPECT_TRUE(forwarder_.requests_.empty());
+    ASSERT_EQ(homes_.asked_.size(), 1U);
+    EXPECT_GT(homes_.asked_.front()->request_->time_left_, clock::duration{0});
+}
+
+// Guards against giving up a request that is harmless to send again.
+TEST_F(entry, harmless_requests_are_forwarded_again) {
+    EXPECT_EQ(ask(write_request(std::nullopt), {unsent, done})->outcome_, outcome::done);
+    for (const auto& request : {read_request(), write_request("k"), question()}) {
+        for (const auto& failure : {unsent, lost}) {
+            EXPECT_EQ(ask(request, {failure, done})->outcome_, outcome::done);
+            EXPECT_EQ(forwarder_.requests_.size(), 2U);
+        }
+    }
+}
+
+// Guards against a write without a key that runs at two homes.
+TEST_F(entry, a_write_without_key_is_not_forwarded_again_after_a_lost_answer) {
+    EXPECT_EQ(ask(write_request(std::nullopt), {lost, done})->outcome_, outcome::unknown);
+    EXPECT_EQ(forwarder_.requests_.size(), 1U);
+}
+
+// Guards against a step that goes to the present home instead of the daemon that holds the transaction.
+TEST_F(entry, steps_of_a_transaction_go_to_its_holder_once) {
+    const auto step = write_request("k").with([](auto& fields) {
+        fields.step_ = base::transaction_step::commit;
+        fields.transaction_ = proxy::transaction_handle{"entry-3", 9}.to_string();
+    });
+    set_members({member_of("entry-2", 2), member_of("entry-3", 3)});
+    EXPECT_EQ(ask(step, {lost, done})->outcome_, outcome::unknown);
+    EXPECT_EQ(ask(step, {unsent, done})->outcome_, outcome::not_run);
+    EXPECT_EQ(forwarder_.peers_, (std::vector<std::uint16_t>{3, 3}));
+}
