Proxy: Answer "not run" only when no earlier attempt may have run

Cause: entry kept no memory of a lost answer. A keyed write whose answer was lost at one home and which the next home refused (queue full, no primary), or which could then reach no home, was answered as not run, although the first attempt may have run. A question for an outcome that was itself refused was answered as not run too, which its caller takes for the outcome of the key.

Ruled out: asking the next home to settle from the entry. The home settles already when the key reaches a database, and a second place that settles multiplies retries.

Change: vouch_for turns such an answer into unknown, unless the home released a cancellation of the key.

Before: entry.after_a_lost_answer_only_a_cancellation_counts_as_not_run and entry.a_question_that_failed_says_nothing_about_its_key fail. After: both pass.

--- a/libraries/proxy/entry.hpp
+++ b/libraries/proxy/entry.hpp
@@ -57,28 +57,42 @@
             request.with([this](base::request_fields& fields) { fields.id_ = state_.next_request_number(); });
         const auto routed = route(*configuration, numbered);
         if (!routed) {
-            co_return base::not_run(routed.last_reason());
+            const auto refused = base::not_run(routed.last_reason());
+            co_return vouch_for(refused, numbered, earlier_forwards::none_ran);
         }
         const auto deadline = clock_.now() + (*routed)->request_->time_left_;
+        auto earlier = earlier_forwards::none_ran;
         while (true) {
             const auto home = find_home(*routed);
             if (!home) {
-                co_return base::not_run(base::error{base::error_kind::peer_unavailable,
-                                                    "no live daemon can serve the database group"});
+                const auto refused = base::not_run(base::error{
+                    base::error_kind::peer_unavailable, "no live daemon can serve the database group"});
+                co_return vouch_for(refused, numbered, earlier);
             }
             const auto timed = with_time_left(*routed, deadline);
             if ((*home)->name_ == state_.settings()->name_) {
-                co_return co_await homes_.execute(timed);
+                const auto served = co_await homes_.execute(timed);
+                co_return vouch_for(served, numbered, earlier);
             }
-            auto answered = co_await forward(*home, timed, deadline);
-            if (std::holds_alternative<base::answer>(answered)) {
-                co_return std::get<base::answer>(std::move(answered));
+            const auto answered = co_await forward(*home, timed, deadline);
+            if (std::holds_alternative<base::answer>(answered.action_)) {
+                co_return vouch_for(std::get<base::answer>(answered.action_), numbered, earlier);
+            }
+            if (answered.failure_ == forward_failure::answer_lost) {
+                earlier = earlier_forwards::may_have_run;
             }
             co_await http::sleep_for(pause_before_next_home);
         }
     }
 
 private:
+    /// What a forwarded request has come to.
+    struct forwarded {
+        entry_action action_;
+        /// Set when no answer arrived.
+        std::optional<forward_failure> failure_;
+    };
+
     [[nodiscard]] base::clock::duration time_until(base::clock::time_point deadline) const {
         return std::max(deadline - clock_.now(), base::clock::duration{0});
     }
@@ -105,14 +119,15 @@
         return choice ? std::optional{choice->home_} : std::nullopt;
     }
 
-    boost::asio::awaitable<entry_action> forward(daemons::member home, routed_request routed,
-                                                 base::clock::time_point deadline) {
+    boost::asio::awaitable<forwarded> forward(daemons::member home, routed_request routed,
+                                              base::clock::time_point deadline) {
         const auto& request = routed->request_;
         // The home answers by the deadline; the margin lets that answer arrive instead of being given up.
         auto answered =
             co_await forwarder_.forward(home->address_, request, request->time_left_ + answer_margin);
         if (answered) {
-            co_return entry_action{*std::move(answered)};
+            forwarded served{*std::move(answered), std::nullopt};
+            co_return served;
         }
         const auto& reason = answered.last_reason();
         base::log_event(
@@ -120,7 +135,8 @@
             {{"group", request->service_}, {"home", home->name_}, {"reason", reason.to_string()}});
         const auto failure =
             daemons::may_have_run(reason) ? forward_failure::answer_lost : forward_failure::not_sent;
-        co_return decide_after_lost_home(request, failure, reason, time_until(deadline));
+        forwarded failed{decide_after_lost_home(request, failure, reason, time_until(deadline)), failure};
+        co_return failed;
     }
 
     static constexpr base::clock::duration answer_margin{100};
--- a/libraries/proxy/entry_decision.cpp
+++ b/libraries/proxy/entry_decision.cpp
@@ -1,5 +1,7 @@
 #include <proxy/entry_decision.hpp>
 
+#include <string>
+
 namespace proxy {
 
 namespace {
@@ -54,4 +56,18 @@
                                      "the home was lost before its answer arrived: " + reason.message()});
 }
 
+base::answer vouch_for(const base::answer& last, const base::request& request, earlier_forwards earlier) {
+    const bool concerns_earlier =
+        request->access_ == base::access::settle ||
+        (request->access_ == base::access::write && earlier == earlier_forwards::may_have_run);
+    const bool is_proven = last->error_ && last->error_->kind() == base::error_kind::key_cancelled;
+    if (last->outcome_ != base::outcome::not_run || !concerns_earlier || is_proven) {
+        return last;
+    }
+    const auto reason = last->error_ ? last->error_->message() : std::string{"the request was refused"};
+    return base::unknown(base::error{base::error_kind::answer_lost,
+                                     "whether an earlier attempt ran could not be established: " + reason})
+        .with([&last](base::answer_fields& fields) { fields.retry_after_ = last->retry_after_; });
+}
+
 } // namespace proxy
--- a/libraries/proxy/entry_decision.hpp
+++ b/libraries/proxy/entry_decision.hpp
@@ -35,4 +35,15 @@
 [[nodiscard]] entry_action decide_after_lost_home(const base::request& request, forward_failure failure,
                                                   const base::error& reason, base::clock::duration time_left);
 
+/// Whether an earlier attempt to forward the same request may have run at its home.
+enum class earlier_forwards : std::uint8_t { none_ran, may_have_run };
+
+/// Returns what the entry daemon may tell the caller after `last`.
+///
+/// A refusal by a second home proves nothing about the first one, whose answer was lost, and a question for
+/// an outcome that was itself refused proves nothing about its key. In both cases `not_run` becomes
+/// `unknown`, except after a released cancellation.
+[[nodiscard]] base::answer vouch_for(const base::answer& last, const base::request& request,
+                                     earlier_forwards earlier);
+
 } // namespace proxy
--- a/tests/proxy/test_entry.cpp
+++ b/tests/proxy/test_entry.cpp
@@ -156,3 +156,28 @@
     EXPECT_EQ(ask(step, {unsent, done})->outcome_, outcome::not_run);
     EXPECT_EQ(forwarder_.peers_, (std::vector<std::uint16_t>{3, 3}));
 }
+
+// Guards against "not run" for a write whose first answer was lost: the second home, or the failure to reach
+// one, tells nothing about the first attempt. Only a settled cancellation does.
+TEST_F(entry, after_a_lost_answer_only_a_cancellation_counts_as_not_run) {
+    const auto write = write_request("k");
+    for (const auto kind : {error_kind::overloaded, error_kind::no_primary, error_kind::deadline_expired}) {
+        EXPECT_EQ(ask(write, {refused(kind)})->outcome_, outcome::not_run);
+        EXPECT_EQ(ask(write, {lost, refused(kind)})->outcome_, outcome::unknown);
+    }
+    EXPECT_EQ(ask(write, {unsent})->outcome_, outcome::not_run);
+    EXPECT_EQ(ask(write, {lost, unsent})->outcome_, outcome::unknown);
+    EXPECT_EQ(ask(write, {lost, refused(error_kind::key_cancelled)})->outcome_, outcome::not_run);
+    EXPECT_EQ(ask(read_request(), {lost, refused(error_kind::overloaded)})->outcome_, outcome::not_run);
+    set_members({});
+    EXPECT_EQ(ask(write, {lost})->outcome_, outcome::not_run);
+}
+
+// Guards against a question for an outcome that is answered "not run" because the question itself failed.
+TEST_F(entry, a_question_that_failed_says_nothing_about_its_key) {
+    EXPECT_EQ(ask(question(), {unsent})->outcome_, outcome::unknown);
+    EXPECT_EQ(ask(question(), {refused(error_kind::unknown_service)})->outcome_, outcome::unknown);
+    EXPECT_EQ(ask(question(), {refused(error_kind::key_cancelled)})->outcome_, outcome::not_run);
+    set_members({});
+    EXPECT_EQ(ask(question(), {unsent})->outcome_, outcome::unknown);
+}
