Proxy: Release the slot of a commit before settling it

Cause: a commit whose answer was lost kept its place in the queue's slots and its connection while it was settled, and settling takes a slot. With all slots held by such commits, which is what a dying primary leaves behind (one commit is enough with one slot, two with the two slots of today's groups), none could be settled before its deadline and each was answered as unknown.

Ruled out: settling on the slot that is held. The settle may go to another database, whose slots it would not count against.

Change: a step gives its slot back when its answer is there or lost, and discards an unanswered connection at once.

Before: group_home.a_commit_with_a_lost_answer_is_settled fails: unknown twice, no settle was sent. After: it passes.

--- a/libraries/proxy/group_home.hpp
+++ b/libraries/proxy/group_home.hpp
@@ -612,15 +612,19 @@
         if (const auto refused = co_await taken.connection_.resume(deadline)) {
             co_return base::not_run(base::error{base::error_kind::transaction_aborted, refused->message()});
         }
-        co_return co_await run_step(routed, handle->number(), std::move(taken), deadline);
+        co_return co_await run_step(routed, handle->number(), std::move(taken), std::move(*admission.ticket_),
+                                    deadline);
     }
 
     boost::asio::awaitable<base::answer> run_step(routed_request routed, std::uint64_t number,
-                                                  open_transaction taken, time_point deadline) {
+                                                  open_transaction taken, typename lane::ticket slot,
+                                                  time_point deadline) {
         const auto& request = routed->request_;
         const auto statements = statements_of(request, taken.term_);
         auto sent =
             co_await send(taken.connection_, taken.database_, path_of(request->step_), statements, deadline);
+        // Settling a commit takes a slot of its own, which may be the one that this step has held.
+        slot.release();
         const bool ran = sent && !(*sent)->refusal_;
         if (request->step_ == base::transaction_step::statement && ran) {
             taken.connection_.pause();
@@ -639,6 +643,8 @@
         }
         if (sent) {
             taken.connection_.give_back();
+        } else {
+            taken.connection_.discard();
         }
         if (request->step_ == base::transaction_step::rollback) {
             // With or without an answer: the connection is closed or rolled back.
--- a/tests/proxy/test_group_home.cpp
+++ b/tests/proxy/test_group_home.cpp
@@ -303,6 +303,32 @@
     });
 }
 
+// Guards against a lost commit that is reported on a guess, and against a commit that waits for the slot that
+// it holds itself: with one slot, settling the commit needs the slot that the commit had.
+TEST(group_home, a_commit_with_a_lost_answer_is_settled) {
+    running_home running{1};
+    running.run([&]() -> asio::awaitable<void> {
+        for (const bool ran : {true, false}) {
+            const std::string key = ran ? "k1" : "k2";
+            const auto begun = co_await running.ask(step_of(transaction_step::begin));
+            const auto& handle = begun->transaction_;
+            const auto stated =
+                co_await running.ask(step_of(transaction_step::statement, handle, "add " + key + " 1"));
+            EXPECT_EQ(stated->outcome_, outcome::done);
+            running.primary().lose_after_effect_ = ran ? 1 : 0;
+            running.primary().lose_before_effect_ = ran ? 0 : 1;
+            const auto commit = step_of(transaction_step::commit, handle).with([&](auto& fields) {
+                fields.idempotency_key_ = key;
+                fields.time_left_ = clock::duration{3'000};
+            });
+            const auto ended = co_await running.ask(commit);
+            EXPECT_EQ(ended->outcome_, ran ? outcome::done : outcome::not_run);
+            EXPECT_EQ(running.primary().count_statement("add " + key + " 1"), ran ? 1 : 0);
+        }
+        EXPECT_EQ(running.group_.settles_, 2);
+    });
+}
+
 // Guards against shed requests that reach a database, or whose callers are told nothing or "unknown".
 TEST(group_home, refusals_and_deadlines_of_the_queue_are_not_run) {
     running_home running{1, 4};
