Proxy: End every waiting request when a home stops

Cause: stop closed the monitor and the pools, but requests in the queue waited on until their deadlines, statements at a database were not given up, and requests that had ended an attempt tried again until their deadlines. A request that reached the gate after stop waited there, because a stopped monitor decides nothing.

Change: stop refuses what the lanes hold as shutting_down, closes the connections of running statements, and lets no request try again; a stopped monitor answers a wait at once. A settle is registered as running only until its answer: its connection, given back before the gate, could be freed when stop or a change of term closed it once more.

Before: group_home.stop_ends_every_waiting_request hangs until the test's limit of 40 s. After: it passes.

--- a/libraries/backends/group_monitor.hpp
+++ b/libraries/backends/group_monitor.hpp
@@ -136,6 +136,9 @@
     [[nodiscard]] boost::asio::awaitable<gate_result> wait_until_committed(base::log_position position,
                                                                            base::clock::time_point deadline) {
         const auto self = this->shared_from_this();
+        if (stopping_) {
+            co_return gate_result::timed_out;
+        }
         const auto number = gate_waiters_.next_number();
         typename waiter_list<gate_result>::waiter waiting{gate_waiters_, number, executor_};
         const waiting_answer entry{.id_ = number, .position_ = position, .deadline_ = deadline};
@@ -151,6 +154,9 @@
     [[nodiscard]] boost::asio::awaitable<freshness_result> confirm_term(std::uint64_t term,
                                                                         base::clock::time_point deadline) {
         const auto self = this->shared_from_this();
+        if (stopping_) {
+            co_return freshness_result::timed_out;
+        }
         const auto number = freshness_waiters_.next_number();
         typename waiter_list<freshness_result>::waiter waiting{freshness_waiters_, number, executor_};
         const waiting_read entry{.id_ = number, .term_ = term, .deadline_ = deadline};
--- a/libraries/proxy/admission_lane.hpp
+++ b/libraries/proxy/admission_lane.hpp
@@ -79,6 +79,9 @@
     /// Waits for a slot. `item` needs no id. Returns at the latest at the item's deadline.
     [[nodiscard]] boost::asio::awaitable<admission> admit(backends::queue_item item) {
         const auto self = this->shared_from_this();
+        if (stopped_) {
+            co_return admission{std::nullopt, refusal{closed_error()}};
+        }
         const auto id = ++last_id_;
         waiter waiting;
         const auto identified = item.with([id](auto& fields) { fields.id_ = id; });
@@ -113,6 +116,19 @@
         start_admitted();
     }
 
+    /// Refuses the requests that wait for a slot and all that come later. Those that hold a slot keep it.
+    void stop() {
+        stopped_ = true;
+        for (const auto& [id, waiting] : waiters_) {
+            if (waiting->state_ == waiter_state::queued) {
+                queue_.withdraw(id);
+                waiting->refusal_ = backends::queue_refusal_fields{.id_ = id, .reason_ = closed_error()};
+                waiting->state_ = waiter_state::refused;
+                waiting->changed_.notify_all();
+            }
+        }
+    }
+
     /// Returns how many requests hold a slot.
     [[nodiscard]] std::uint32_t running() const noexcept { return running_; }
     /// Returns how much is queued, for back-pressure and metrics.
@@ -133,6 +149,10 @@
         return admission{std::nullopt, refusal{refused->reason_, refused->retry_after_}};
     }
 
+    static base::error closed_error() {
+        return base::error{base::error_kind::shutting_down, "the home of the database group was closed"};
+    }
+
     void finish(std::uint64_t id) noexcept {
         queue_.finish(id, clock_.now());
         --running_;
@@ -194,6 +214,7 @@
     std::uint64_t last_id_ = 0;
     std::map<std::uint64_t, waiter*> waiters_;
     bool expiry_runs_ = false;
+    bool stopped_ = false;
 };
 
 } // namespace proxy
--- a/libraries/proxy/group_home.hpp
+++ b/libraries/proxy/group_home.hpp
@@ -89,10 +89,15 @@
     void stop() {
         stopping_ = true;
         monitor_->stop();
+        primary_lane_->stop();
+        replica_lane_->stop();
         transactions_.clear();
         for (auto& [name, connections] : pools_) {
             connections->close();
         }
+        for (auto& statement : running_) {
+            statement.connection_->close();
+        }
     }
 
     /// Returns whether no request is in flight and no transaction is open.
@@ -250,8 +255,21 @@
         co_return co_await attempt_statements(routed, deadline);
     }
 
+    // A home that stops makes no further attempt, so that no request outlives it up to its deadline.
     backends::outcome_decision decide(const routed_request& routed, const attempt& last,
                                       backends::earlier_attempts earlier, time_point deadline) {
+        if (stopping_) {
+            auto decision = decide_in_time(routed, last, earlier, clock_.now());
+            if (decision.error_ == base::error_kind::deadline_expired) {
+                decision.error_ = base::error_kind::shutting_down;
+            }
+            return decision;
+        }
+        return decide_in_time(routed, last, earlier, deadline);
+    }
+
+    backends::outcome_decision decide_in_time(const routed_request& routed, const attempt& last,
+                                              backends::earlier_attempts earlier, time_point deadline) {
         const auto& request = routed->request_;
         const backends::ended_attempt ended{
             .end_ = last->end_,
@@ -405,8 +423,7 @@
             backends::settle_request_fields{.term_ = primary->term_,
                                             .key_ = recorded_key_of(request),
                                             .fingerprint_ = settled_fingerprint(request)}};
-        const running_registration registered{running_, {primary->database_, primary->term_, &**leased}};
-        const auto answer = co_await (*leased)->settle(question, time_until(deadline));
+        const auto answer = co_await send_settle(*leased, primary->database_, question, deadline);
         if (!answer) {
             co_return failed_attempt(backends::attempt_end::settle_failed, answer.last_reason().message());
         }
@@ -690,6 +707,14 @@
         co_return co_await leased->run(path, statements, time_until(deadline));
     }
 
+    // Registered only until the answer: a connection that was given back may be closed or serve another
+    // request by the time the term changes.
+    boost::asio::awaitable<base::result<backends::settle_answer>>
+    send_settle(guard& leased, std::string database, backends::settle_request question, time_point deadline) {
+        const running_registration registered{running_, {std::move(database), question->term_, &*leased}};
+        co_return co_await leased->settle(question, time_until(deadline));
+    }
+
     [[nodiscard]] backends::execute_request statements_of(const base::request& request,
                                                           std::uint64_t term) const {
         backends::execute_request_fields fields{
--- a/tests/proxy/test_admission_lane.cpp
+++ b/tests/proxy/test_admission_lane.cpp
@@ -114,3 +114,22 @@
         EXPECT_TRUE(this->lane_->is_idle());
     });
 }
+
+// Guards against requests that wait in the queue of a closed home until their deadlines.
+TYPED_TEST(admission_lane, stop_refuses_what_waits_and_what_comes) {
+    this->run([this]() -> asio::awaitable<void> {
+        this->lane_->set_slots(1);
+        this->spawn(patience);
+        this->spawn(patience);
+        co_await this->pause();
+        EXPECT_EQ(this->tickets_.size(), 1U);
+        this->lane_->stop();
+        this->spawn(patience);
+        co_await this->pause();
+        EXPECT_EQ(this->refusals_,
+                  (std::vector{base::error_kind::shutting_down, base::error_kind::shutting_down}));
+        this->tickets_.clear();
+        co_await this->pause();
+        EXPECT_TRUE(this->lane_->is_idle());
+    });
+}
--- a/tests/proxy/test_group_home.cpp
+++ b/tests/proxy/test_group_home.cpp
@@ -360,3 +360,44 @@
         EXPECT_EQ(running.primary().count_statement("add a 1"), 1);
     });
 }
+
+// Guards against a home that is being closed and leaves its callers waiting until their deadlines: in the
+// queue, at a database, at the gate or between two attempts. Guards also against a settle at the gate whose
+// connection, given back and freed meanwhile, is closed once more.
+TEST(group_home, stop_ends_every_waiting_request) {
+    running_home running{1};
+    running.run([&]() -> asio::awaitable<void> {
+        const clock::duration long_time{600'000};
+        const auto warm = co_await running.ask(read_request());
+        EXPECT_EQ(warm->outcome_, outcome::done);
+        cut_replication(running);
+        std::vector<outcome> ended;
+        const auto spawn = [&](base::request request) {
+            running.spawn([&, request]() -> asio::awaitable<void> {
+                const auto answer = co_await running.ask(request);
+                ended.push_back(answer->outcome_);
+            });
+        };
+        spawn(write_request("at the gate", long_time));
+        co_await running.wait_until([&] { return running.primary().count_statement("at the gate") == 1; });
+        spawn(question("k1", long_time));
+        co_await running.wait_until([&] { return running.primary().log_.back().cancels_; });
+        running.primary().holds_statements_ = true;
+        spawn(keyed_write("at the database", "k", long_time));
+        co_await running.wait_until([&] {
+            const auto& received = running.group_.received_;
+            return received.back().statements_.front() == "at the database";
+        });
+        spawn(write_request("queued", long_time));
+        spawn(in_session(read_request(long_time), std::nullopt));
+        spawn(step_of(transaction_step::begin).with([&](auto& fields) { fields.time_left_ = long_time; }));
+        co_await http::sleep_for(clock::duration{50});
+        EXPECT_TRUE(ended.empty());
+        running.home_->stop();
+        co_await running.wait_until([&] { return ended.size() == 6; });
+        EXPECT_EQ(std::count(ended.begin(), ended.end(), outcome::unknown), 3);
+        EXPECT_EQ(std::count(ended.begin(), ended.end(), outcome::not_run), 3);
+        EXPECT_TRUE(running.home_->is_idle());
+        EXPECT_EQ(running.primary().count_statement("at the database"), 0);
+    });
+}
