Daemons: Let questions for an outcome travel between daemons

Cause: the codec's bound of base::access ended at write, so that a daemon which received a forwarded question for an outcome took the frame for invalid and closed the connection, with every other answer on it. Questions worked only at the home itself.

Before: message_codec.every_kind_of_access_round_trips fails for settle. After: it passes.

--- a/libraries/daemons/message_codec.cpp
+++ b/libraries/daemons/message_codec.cpp
@@ -72,7 +72,7 @@
 }
 
 constexpr std::uint8_t last_value(base::access /*type*/) {
-    return static_cast<std::uint8_t>(base::access::write);
+    return static_cast<std::uint8_t>(base::access::settle);
 }
 constexpr std::uint8_t last_value(base::session_state /*type*/) {
     return static_cast<std::uint8_t>(base::session_state::with_token);
--- a/tests/daemons/test_codec.cpp
+++ b/tests/daemons/test_codec.cpp
@@ -176,6 +176,13 @@
     expect_round_trip(sample_datagram());
 }
 
+// Guards against a question for an outcome that another daemon cannot read, so that it closes the connection.
+TEST(message_codec, every_kind_of_access_round_trips) {
+    for (const auto access : {base::access::read, base::access::write, base::access::settle}) {
+        expect_round_trip(sample_request().with([access](auto& fields) { fields.access_ = access; }));
+    }
+}
+
 // Guards against crashes and unbounded allocation on corrupted or hostile bytes.
 TEST(message_codec, corrupted_messages_are_contained) {
     expect_corruption_is_contained(sample_request());
