Proxy: Hold back requests at the edge with one kind of notice

Cause: two half-matching sets existed, one in backends (a percentage of a rank until a time) and one in daemons (held back or not). Neither was wired, so that homes refused in their queues what entry daemons kept forwarding.

Change: the notice and the table with percentages live in daemons, where they travel; decide_hold_back lives in proxy, which sees the queue's load. A home decides every 100 ms while it has work and sends what changed or holds through the peer servers of all workers. Each connection keeps the table of its peer, and entry refuses as overloaded with a time to come back. Steps of open transactions, questions for an outcome and repeats of a write whose answer was lost go through. A notice names the queue it speaks of, because reads that a replica may serve wait in a queue of their own: a flood of writes must not have them refused.

Each thread has its own connection to a home and hears every notice, so that a shared table would only be written several times with the same.

Tests: those of the table moved to tests/daemons and that of the decision to tests/proxy, as strict as before.

--- a/libraries/daemons/hold_back_notice.hpp
+++ b/libraries/daemons/hold_back_notice.hpp
@@ -1,20 +1,26 @@
 #pragma once
 
+#include <base/answer.hpp>
 #include <base/clock.hpp>
 #include <base/immutable.hpp>
 
 #include <compare>
+#include <cstdint>
 #include <string>
 
 namespace daemons {
 
-/// The home of a group asks entry daemons to refuse work at the edge for a while.
+/// What the home of a database group tells entry daemons about one rank.
 struct hold_back_notice_fields {
     std::string group_;
-    /// The rank to hold back; empty for every rank.
     std::string rank_;
-    /// How long the notice holds from its arrival; zero ends an earlier one.
-    base::clock::duration length_{0};
+    /// Which requests are meant: those that need the primary, or reads that a replica may serve. Each kind
+    /// has its own queue, so that a flood of writes leaves the replicas in use.
+    base::database_role role_ = base::database_role::primary;
+    /// Part of the requests to admit: 100 admits everything, 0 nothing.
+    std::uint32_t percent_ = 100;
+    /// How long the notice holds after it arrived. Relative, because the clocks of two hosts differ.
+    base::clock::duration valid_for_{0};
 
     friend auto operator<=>(const hold_back_notice_fields&, const hold_back_notice_fields&) = default;
     friend bool operator==(const hold_back_notice_fields&, const hold_back_notice_fields&) = default;
--- a/libraries/backends/hold_back_table.cpp
+++ b/libraries/daemons/hold_back_table.cpp
@@ -1,31 +1,30 @@
-#include <backends/hold_back_table.hpp>
-
-#include <backends/hold_back.hpp>
+#include <daemons/hold_back_table.hpp>
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
-namespace backends {
+namespace daemons {
 
 using base::clock;
 
 hold_back_table hold_back_table::with(std::span<const hold_back_notice> notices,
                                       clock::time_point now) const {
-    std::map<std::pair<std::string, std::string>, entry> merged;
+    std::map<std::tuple<std::string, std::string, base::database_role>, entry> merged;
     for (const auto& present : entries_) {
         if (present.until_ > now) {
-            merged.emplace(std::pair{present.group_, present.rank_}, present);
+            merged.emplace(std::tuple{present.group_, present.rank_, present.role_}, present);
         }
     }
     for (const auto& notice : notices) {
         const auto valid_for = std::min(notice->valid_for_, longest_hold_back);
-        const std::pair key{notice->group_, notice->rank_};
+        const std::tuple key{notice->group_, notice->rank_, notice->role_};
         if (notice->percent_ >= 100 || valid_for <= clock::duration{0}) {
             merged.erase(key);
         } else if (merged.size() < most_entries || merged.contains(key)) {
-            merged.insert_or_assign(key,
-                                    entry{notice->group_, notice->rank_, notice->percent_, now + valid_for});
+            merged.insert_or_assign(
+                key, entry{notice->group_, notice->rank_, notice->role_, notice->percent_, now + valid_for});
         }
     }
     hold_back_table next;
@@ -36,11 +35,12 @@
 }
 
 std::optional<clock::duration> hold_back_table::find_refusal(std::string_view group, std::string_view rank,
-                                                             clock::time_point now,
+                                                             base::database_role role, clock::time_point now,
                                                              std::uint64_t random) const {
-    const std::pair key{group, rank};
+    const std::tuple key{group, rank, role};
     const auto key_of = [](const entry& present) {
-        return std::pair<std::string_view, std::string_view>{present.group_, present.rank_};
+        return std::tuple<std::string_view, std::string_view, base::database_role>{
+            present.group_, present.rank_, present.role_};
     };
     const auto found =
         std::lower_bound(entries_.begin(), entries_.end(), key,
@@ -52,4 +52,4 @@
     return found->until_ - now;
 }
 
-} // namespace backends
+} // namespace daemons
--- a/libraries/backends/hold_back_table.hpp
+++ b/libraries/daemons/hold_back_table.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <backends/hold_back_notice.hpp>
 #include <base/clock.hpp>
+#include <daemons/hold_back_notice.hpp>
 
 #include <compare>
 #include <cstdint>
@@ -11,10 +11,12 @@
 #include <string_view>
 #include <vector>
 
-namespace backends {
+namespace daemons {
 
-/// The notices in force at an entry daemon. An immutable value: the thread that receives notices publishes
-/// the result of `with` in a `base::snapshot`, and every request reads it.
+/// The longest time for which one notice holds, however long the backlog.
+inline constexpr base::clock::duration longest_hold_back{1'000};
+
+/// The notices of one home that are in force at an entry daemon.
 ///
 /// A notice ends by itself, at the latest after `longest_hold_back`, so that one whose successor was lost
 /// cannot block a rank for ever. Complexity: `find_refusal` is logarithmic in the number of ranks that are
@@ -24,17 +26,16 @@
     /// The most ranks of groups that are held back at the same time; further ones are admitted.
     static constexpr std::size_t most_entries = 10'000;
 
-    /// Returns a table with the notices added, which replace older ones of the same group and rank, and
+    /// Returns a table with the notices added, which replace older ones of the same group, rank and role, and
     /// without the ones that have ended.
     [[nodiscard]] hold_back_table with(std::span<const hold_back_notice> notices,
                                        base::clock::time_point now) const;
 
     /// Returns nothing when a request may be forwarded to the home, otherwise the time after which the caller
     /// may try again. `random` decides which part of the requests is admitted.
-    [[nodiscard]] std::optional<base::clock::duration> find_refusal(std::string_view group,
-                                                                    std::string_view rank,
-                                                                    base::clock::time_point now,
-                                                                    std::uint64_t random) const;
+    [[nodiscard]] std::optional<base::clock::duration>
+    find_refusal(std::string_view group, std::string_view rank, base::database_role role,
+                 base::clock::time_point now, std::uint64_t random) const;
 
     /// Returns how many ranks are held back, including notices that have ended since the last change.
     [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
@@ -45,14 +46,15 @@
     struct entry {
         std::string group_;
         std::string rank_;
+        base::database_role role_ = base::database_role::primary;
         std::uint32_t percent_ = 0;
         base::clock::time_point until_;
 
         friend auto operator<=>(const entry&, const entry&) = default;
     };
 
-    /// Sorted by group and rank, each pair once.
+    /// Sorted by group, rank and role, each combination once.
     std::vector<entry> entries_;
 };
 
-} // namespace backends
+} // namespace daemons
--- a/libraries/daemons/peer_client.cpp
+++ b/libraries/daemons/peer_client.cpp
@@ -100,10 +100,14 @@
     return links_.emplace(peer, std::make_shared<peer_link>(executor_, peer, limits_)).first->second;
 }
 
-bool peer_client::is_held_back(const base::endpoint& peer, std::string_view group,
-                               std::string_view rank) const {
+std::optional<base::clock::duration> peer_client::find_hold_back(const base::endpoint& peer,
+                                                                 std::string_view group,
+                                                                 std::string_view rank,
+                                                                 base::database_role role) {
     const auto found = links_.find(peer);
-    return found != links_.end() && found->second->is_held_back(group, rank);
+    const auto* table = found == links_.end() ? nullptr : found->second->hold_backs();
+    return table == nullptr ? std::nullopt
+                            : table->find_refusal(group, rank, role, base::clock::now(), random_());
 }
 
 void peer_client::close() {
--- a/libraries/daemons/peer_client.hpp
+++ b/libraries/daemons/peer_client.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -56,9 +57,13 @@
     [[nodiscard]] boost::asio::awaitable<base::result<configuration_offer>>
     fetch_configuration(base::endpoint peer, std::uint64_t known_revision, base::clock::duration timeout);
 
-    /// Returns whether the peer asked this daemon to hold back work of this group and rank for a while.
-    [[nodiscard]] bool is_held_back(const base::endpoint& peer, std::string_view group,
-                                    std::string_view rank) const;
+    /// Decides whether the peer asked this daemon to hold back a request of this group and rank that needs a
+    /// database of this role. Returns nothing when it may be forwarded, otherwise after which time the caller
+    /// may try again.
+    [[nodiscard]] std::optional<base::clock::duration> find_hold_back(const base::endpoint& peer,
+                                                                      std::string_view group,
+                                                                      std::string_view rank,
+                                                                      base::database_role role);
 
     /// Closes every connection; unanswered questions end with an error.
     void close();
--- a/libraries/daemons/peer_connection.cpp
+++ b/libraries/daemons/peer_connection.cpp
@@ -17,9 +17,6 @@
 
 namespace {
 
-// A notice beyond this number is left out; the server refuses the work itself then.
-constexpr std::size_t most_hold_backs = 1024;
-
 base::error cannot_connect(const base::endpoint& peer, const std::string& reason) {
     return base::error{base::error_kind::connection_failed,
                        "cannot connect to peer " + peer.to_string() + ": " + reason};
@@ -204,25 +201,10 @@
     if (!notice) {
         return false;
     }
-    const auto now = base::clock::now();
-    std::erase_if(hold_backs_, [now](const auto& entry) { return entry.second <= now; });
-    const auto& fields = **notice;
-    const std::pair key{fields.group_, fields.rank_};
-    if (hold_backs_.size() < most_hold_backs || hold_backs_.contains(key)) {
-        hold_backs_[key] = now + fields.length_;
-    }
+    hold_backs_ = hold_backs_.with(std::span{&*notice, 1}, base::clock::now());
     return true;
 }
 
-bool peer_connection::is_held_back(std::string_view group, std::string_view rank) const {
-    const auto now = base::clock::now();
-    const auto holds = [&](std::string_view held_rank) {
-        const auto found = hold_backs_.find({std::string{group}, std::string{held_rank}});
-        return found != hold_backs_.end() && found->second > now;
-    };
-    return holds(rank) || holds({});
-}
-
 asio::awaitable<void> peer_connection::watch_health(std::shared_ptr<peer_connection> self) {
     while (self->stream_->is_open()) {
         const auto now = base::clock::now();
--- a/libraries/daemons/peer_connection.hpp
+++ b/libraries/daemons/peer_connection.hpp
@@ -6,7 +6,7 @@
 #include <daemons/connection_health.hpp>
 #include <daemons/frame.hpp>
 #include <daemons/frame_stream.hpp>
-#include <daemons/hold_back_notice.hpp>
+#include <daemons/hold_back_table.hpp>
 #include <daemons/peer_limits.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -42,8 +42,8 @@
     /// Returns whether new questions should use this connection.
     [[nodiscard]] bool is_usable() const noexcept { return stream_->is_open() && !retired_; }
 
-    /// Returns whether the peer asked to hold back work of this group and rank.
-    [[nodiscard]] bool is_held_back(std::string_view group, std::string_view rank) const;
+    /// Returns what the peer asked to hold back.
+    [[nodiscard]] const hold_back_table& hold_backs() const noexcept { return hold_backs_; }
 
     /// Ends the connection and every question on it.
     void close(std::string_view reason);
@@ -75,7 +75,7 @@
     connection_activity activity_;
     std::map<std::uint64_t, call*> calls_;
     std::uint64_t last_id_ = 0;
-    std::map<std::pair<std::string, std::string>, base::clock::time_point> hold_backs_;
+    hold_back_table hold_backs_;
     /// Takes no new questions; closed once the present ones have ended.
     bool retired_ = false;
     std::string close_reason_;
--- a/libraries/daemons/peer_link.cpp
+++ b/libraries/daemons/peer_link.cpp
@@ -47,8 +47,8 @@
     }
 }
 
-bool peer_link::is_held_back(std::string_view group, std::string_view rank) const {
-    return has_usable() && connection_->is_held_back(group, rank);
+const hold_back_table* peer_link::hold_backs() const noexcept {
+    return has_usable() ? &connection_->hold_backs() : nullptr;
 }
 
 bool peer_link::is_idle(base::clock::time_point now) const {
--- a/libraries/daemons/peer_link.hpp
+++ b/libraries/daemons/peer_link.hpp
@@ -30,7 +30,8 @@
     [[nodiscard]] boost::asio::awaitable<base::result<std::shared_ptr<peer_connection>>>
     acquire(base::clock::time_point deadline, std::uint64_t entropy);
 
-    [[nodiscard]] bool is_held_back(std::string_view group, std::string_view rank) const;
+    /// Returns what the peer asked to hold back on the present connection, or null without one.
+    [[nodiscard]] const hold_back_table* hold_backs() const noexcept;
     /// Returns whether nothing is lost when the link is dropped.
     [[nodiscard]] bool is_idle(base::clock::time_point now) const;
     /// Ends the connection for good.
--- a/libraries/proxy/entry.hpp
+++ b/libraries/proxy/entry.hpp
@@ -10,6 +10,7 @@
 #include <proxy/daemon_state.hpp>
 #include <proxy/entry_decision.hpp>
 #include <proxy/events.hpp>
+#include <proxy/hold_back_decision.hpp>
 #include <proxy/routing.hpp>
 #include <proxy/transaction_handle.hpp>
 
@@ -19,6 +20,7 @@
 #include <concepts>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -33,7 +35,11 @@
 /// Asks other daemons to serve requests.
 template <typename Forwarder>
 concept request_forwarder = requires(Forwarder& forwarder, base::endpoint peer, base::request request,
-                                     base::clock::duration timeout) {
+                                     base::clock::duration timeout, std::string_view name,
+                                     base::database_role role) {
+    {
+        forwarder.find_hold_back(peer, name, name, role)
+        } -> std::same_as<std::optional<base::clock::duration>>;
     {
         forwarder.forward(peer, request, timeout)
         } -> std::same_as<boost::asio::awaitable<base::result<base::answer>>>;
@@ -74,6 +80,14 @@
                 const auto served = co_await homes_.execute(timed);
                 co_return vouch_for(served, numbered, earlier);
             }
+            // A request that may have run already goes on, because only its home can find out.
+            const auto pause =
+                earlier == earlier_forwards::none_ran ? find_hold_back(*home, timed) : std::nullopt;
+            if (pause) {
+                co_return base::not_run(base::error{base::error_kind::overloaded,
+                                                    "the home of the database group holds back this rank"},
+                                        *pause);
+            }
             const auto answered = co_await forward(*home, timed, deadline);
             if (std::holds_alternative<base::answer>(answered.action_)) {
                 co_return vouch_for(std::get<base::answer>(answered.action_), numbered, earlier);
@@ -119,6 +133,14 @@
         return choice ? std::optional{choice->home_} : std::nullopt;
     }
 
+    [[nodiscard]] std::optional<base::clock::duration> find_hold_back(const daemons::member& home,
+                                                                      const routed_request& routed) {
+        const auto& request = routed->request_;
+        return may_be_held_back(request) ? forwarder_.find_hold_back(home->address_, request->service_,
+                                                                     request->rank_, needed_role(routed))
+                                         : std::nullopt;
+    }
+
     boost::asio::awaitable<forwarded> forward(daemons::member home, routed_request routed,
                                               base::clock::time_point deadline) {
         const auto& request = routed->request_;
--- a/libraries/proxy/group_home.hpp
+++ b/libraries/proxy/group_home.hpp
@@ -3,6 +3,7 @@
 #include <backends/connection_pool.hpp>
 #include <backends/database_connection.hpp>
 #include <backends/group_monitor.hpp>
+#include <backends/load_events.hpp>
 #include <backends/outcome_decision.hpp>
 #include <backends/pooled_connections.hpp>
 #include <backends/replica_choice.hpp>
@@ -19,6 +20,7 @@
 #include <proxy/daemon_report.hpp>
 #include <proxy/events.hpp>
 #include <proxy/fingerprint.hpp>
+#include <proxy/hold_back_decision.hpp>
 #include <proxy/routing.hpp>
 #include <proxy/transaction_handle.hpp>
 
@@ -36,6 +38,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,16 +62,19 @@
 /// this class carries them out. Thread safety: used by the thread of its executor only. Lifetime: held by a
 /// `std::shared_ptr`; its coroutines keep it alive until `stop`. `Clock` outlives it.
 template <backends::request_queue Queue, backends::database_connector Connector, base::time_source Clock,
-          backends::suspicion_check Check>
-class group_home : public std::enable_shared_from_this<group_home<Queue, Connector, Clock, Check>> {
+          backends::suspicion_check Check, hold_back_announcer Announcer>
+class group_home
+    : public std::enable_shared_from_this<group_home<Queue, Connector, Clock, Check, Announcer>> {
 public:
     group_home(boost::asio::any_io_executor executor, operators::service_declaration declaration,
-               home_identity identity, Connector connector, const Clock& clock, Check check)
+               home_identity identity, Connector connector, const Clock& clock, Check check,
+               Announcer announcer)
         : executor_{std::move(executor)}, declaration_{std::move(declaration)}, identity_{std::move(
                                                                                     identity)},
-          connector_{std::move(connector)}, clock_{clock}, random_{identity_.random_seed_},
-          monitor_{
-              std::make_shared<monitor>(executor_, monitor_settings(), connector_, clock_, std::move(check))},
+          connector_{std::move(connector)}, clock_{clock}, announcer_{std::move(announcer)},
+          random_{identity_.random_seed_}, monitor_{std::make_shared<monitor>(executor_, monitor_settings(),
+                                                                              connector_, clock_,
+                                                                              std::move(check))},
           primary_lane_{std::make_shared<lane>(executor_, declaration_, clock_)},
           replica_lane_{std::make_shared<lane>(executor_, declaration_, clock_)} {
         for (const auto& database : declaration_->databases_) {
@@ -820,10 +826,35 @@
                 self->maintain();
             }
             const bool busy = self->in_flight_ > 0;
+            if (self->clock_.now() - self->announced_at_ >= hold_back_period && (busy || self->holds_back_)) {
+                self->announce_hold_back();
+            }
             co_await http::sleep_for(busy ? busy_period : idle_period);
         }
     }
 
+    // Tells the entry daemons how much of each rank to admit, for as long as it is not everything.
+    void announce_hold_back() {
+        announced_at_ = clock_.now();
+        auto present = decide_hold_back(declaration_, base::database_role::primary, primary_lane_->load());
+        const auto reads =
+            decide_hold_back(declaration_, base::database_role::replica, replica_lane_->load());
+        present.insert(present.end(), reads.begin(), reads.end());
+        const auto notices = select_notices(announced_, present);
+        const bool holds_back = std::any_of(notices.begin(), notices.end(),
+                                            [](const auto& notice) { return notice->percent_ < 100; });
+        if (holds_back != holds_back_) {
+            base::log_event(holds_back ? backends::load_events::hold_back_started
+                                       : backends::load_events::hold_back_ended,
+                            {{"group", declaration_->name_}});
+        }
+        holds_back_ = holds_back;
+        announced_ = std::move(present);
+        if (!notices.empty()) {
+            announcer_(std::span<const daemons::hold_back_notice>{notices});
+        }
+    }
+
     void update_lanes() {
         const auto& view = monitor_->view();
         const auto primary = monitor_->usable_primary();
@@ -891,6 +922,7 @@
     static constexpr duration busy_period{25};
     static constexpr duration idle_period{250};
     static constexpr duration maintenance_period{1'000};
+    static constexpr duration hold_back_period{100};
     static constexpr duration transaction_idle_limit{30'000};
 
     boost::asio::any_io_executor executor_;
@@ -898,6 +930,7 @@
     home_identity identity_;
     Connector connector_;
     const Clock& clock_;
+    Announcer announcer_;
     std::mt19937_64 random_;
     std::shared_ptr<monitor> monitor_;
     std::shared_ptr<lane> primary_lane_;
@@ -908,6 +941,9 @@
     std::map<std::uint64_t, open_transaction> transactions_;
     std::list<running_statement> running_;
     std::uint64_t in_flight_ = 0;
+    std::vector<daemons::hold_back_notice> announced_;
+    time_point announced_at_{};
+    bool holds_back_ = false;
     bool stopping_ = false;
 };
 
--- a/libraries/proxy/worker.hpp
+++ b/libraries/proxy/worker.hpp
@@ -23,6 +23,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -32,6 +33,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -136,7 +138,25 @@
     [[nodiscard]] const base::metric_registry& metrics() const noexcept { return metrics_; }
 
 private:
-    using home = group_home<Queue, backends::database_client_connector, base::clock, suspicion_asker>;
+    /// Sends the notices of a home on this thread to the daemons that are connected to any thread.
+    struct hold_back_sender {
+        worker& owner_;
+
+        void operator()(std::span<const daemons::hold_back_notice> notices) const {
+            const auto shared = std::make_shared<const std::vector<daemons::hold_back_notice>>(
+                notices.begin(), notices.end());
+            for (const auto& one : owner_.workers_) {
+                boost::asio::post(one->context_, [&receiver = *one, shared] {
+                    for (const auto& notice : *shared) {
+                        receiver.peer_server_->hold_back(notice);
+                    }
+                });
+            }
+        }
+    };
+
+    using home = group_home<Queue, backends::database_client_connector, base::clock, suspicion_asker,
+                            hold_back_sender>;
 
     /// Serves requests of this daemon's own groups.
     struct homes_gate {
@@ -204,7 +224,7 @@
                                      .random_seed_ = random_()};
         auto opened = std::make_shared<home>(context_.get_executor(), declaration, identity,
                                              backends::database_client_connector{}, clock_,
-                                             suspicion_asker{state_, peers_, group});
+                                             suspicion_asker{state_, peers_, group}, hold_back_sender{*this});
         opened->start();
         homes_.emplace(group, opened);
         return opened;
--- /dev/null
+++ b/tests/daemons/test_hold_back.cpp
@@ -0,0 +1,54 @@
+#include <daemons/hold_back_table.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using base::clock;
+using daemons::hold_back_notice;
+using daemons::hold_back_notice_fields;
+using daemons::hold_back_table;
+
+clock::time_point at(std::int64_t ms) {
+    return clock::time_point{clock::duration{ms}};
+}
+
+constexpr auto primary = base::database_role::primary;
+constexpr auto replica = base::database_role::replica;
+
+} // namespace
+
+// Guards against an entry daemon that refuses for ever because the notice that ends it was lost.
+TEST(hold_back, every_notice_ends_by_itself) {
+    EXPECT_TRUE(rc::check("expiry", [](std::uint64_t random) {
+        const hold_back_notice notice{
+            hold_back_notice_fields{"ledger", "low", primary, *rc::gen::inRange(0U, 101U),
+                                    clock::duration{*rc::gen::arbitrary<std::int32_t>()}}};
+        const auto table = hold_back_table{}.with(std::vector{notice}, at(50));
+        const auto refusal = table.find_refusal("ledger", "low", primary, at(50), random);
+        RC_ASSERT(!refusal || *refusal <= daemons::longest_hold_back);
+        RC_ASSERT(!table.find_refusal("ledger", "low", primary, at(50) + daemons::longest_hold_back, random));
+        RC_ASSERT(!table.find_refusal("ledger", "normal", primary, at(50), random));
+        RC_ASSERT(!table.find_refusal("ledger", "low", replica, at(50), random));
+        RC_ASSERT(table.with({}, at(50) + daemons::longest_hold_back).size() == 0U);
+    }));
+}
+
+// Guards against a fraction that admits all or nothing, and a notice that does not replace the one before.
+TEST(hold_back, fraction_of_the_requests_is_admitted_until_replaced) {
+    const auto notice = [](std::uint32_t percent) {
+        return std::vector{hold_back_notice{
+            hold_back_notice_fields{"ledger", "low", primary, percent, clock::duration{500}}}};
+    };
+    auto table = hold_back_table{}.with(notice(30), at(0));
+    int admitted = 0;
+    for (std::uint64_t random = 0; random < 1'000; ++random) {
+        admitted += table.find_refusal("ledger", "low", primary, at(499), random) ? 0 : 1;
+    }
+    EXPECT_EQ(admitted, 300);
+    table = table.with(notice(0), at(100));
+    EXPECT_TRUE(table.find_refusal("ledger", "low", primary, at(100), 0));
+    table = table.with(notice(100), at(101));
+    EXPECT_FALSE(table.find_refusal("ledger", "low", primary, at(101), 99));
+}
--- a/tests/daemons/test_peers.cpp
+++ b/tests/daemons/test_peers.cpp
@@ -368,13 +368,15 @@
         EXPECT_TRUE(offer && (*offer)->revision_ == 7);
         const auto failed = co_await running.ask("throw");
         EXPECT_TRUE(failed && (*failed)->outcome_ == base::outcome::unknown);
-        const hold_back_notice notice{hold_back_notice_fields{"ledger", "low", time_limit}};
+        const auto primary = base::database_role::primary;
+        const hold_back_notice notice{hold_back_notice_fields{"ledger", "low", primary, 0, time_limit}};
         running.server_->hold_back(notice);
         const auto after = co_await running.ask("a");
         EXPECT_TRUE(after);
-        EXPECT_TRUE(running.client_.is_held_back(local, "ledger", "low"));
-        EXPECT_FALSE(running.client_.is_held_back(local, "ledger", "high"));
-        EXPECT_FALSE(running.client_.is_held_back(local, "board", "low"));
+        EXPECT_TRUE(running.client_.find_hold_back(local, "ledger", "low", primary));
+        EXPECT_FALSE(running.client_.find_hold_back(local, "ledger", "low", base::database_role::replica));
+        EXPECT_FALSE(running.client_.find_hold_back(local, "ledger", "high", primary));
+        EXPECT_FALSE(running.client_.find_hold_back(local, "board", "low", primary));
     });
 }
 
--- a/tests/proxy/fake_group.cpp
+++ b/tests/proxy/fake_group.cpp
@@ -105,7 +105,7 @@
 asio::awaitable<std::optional<base::error>> connection::reach(std::shared_ptr<state> self,
                                                               clock::duration timeout, bool is_statement) {
     const auto until = clock::now() + timeout;
-    co_await http::sleep_for(clock::duration{1});
+    co_await http::sleep_for(is_statement ? self->target_->statement_time_ : clock::duration{1});
     while (self->is_open_ && clock::now() < until &&
            (self->target_->is_frozen_ || (is_statement && self->target_->holds_statements_))) {
         co_await http::sleep_for(step);
--- a/tests/proxy/fake_group.hpp
+++ b/tests/proxy/fake_group.hpp
@@ -50,6 +50,8 @@
     std::optional<backends::refusal> refuse_next_;
     /// Lets statements wait while it is set.
     bool holds_statements_ = false;
+    /// How long a statement takes.
+    base::clock::duration statement_time_{1};
 
     [[nodiscard]] base::log_position last() const { return {log_.back().term_, log_.size()}; }
     [[nodiscard]] const log_entry* find_key(const std::string& key) const;
--- a/tests/proxy/running_home.hpp
+++ b/tests/proxy/running_home.hpp
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,13 +24,21 @@
     std::shared_ptr<base::clock::duration> skipped_ = std::make_shared<base::clock::duration>(0);
 };
 
+/// Keeps the notices that a home sends.
+struct announcer {
+    void operator()(std::span<const daemons::hold_back_notice> notices) const {
+        announced_->insert(announced_->end(), notices.begin(), notices.end());
+    }
+    std::shared_ptr<std::vector<daemons::hold_back_notice>> announced_;
+};
+
 /// Long enough for a takeover.
 inline constexpr base::clock::duration patience{8'000};
 
 /// A home over a group in memory, and a way to ask it.
 class running_home {
 public:
-    using home = proxy::group_home<backends::admission_queue, connector, skipping_clock, check>;
+    using home = proxy::group_home<backends::admission_queue, connector, skipping_clock, check, announcer>;
 
     explicit running_home(std::uint32_t slots = 2, std::uint32_t queue_items = 100)
         : declaration_{operators::service_declaration_fields{
@@ -44,7 +53,7 @@
           home_{std::make_shared<home>(
               context_.get_executor(), declaration_,
               proxy::home_identity{.daemon_ = "entry-1", .proposer_ = "entry-1/1", .random_seed_ = 7},
-              connector{&group_}, clock_, check{&group_})} {}
+              connector{&group_}, clock_, check{&group_}, announcer{announced_})} {}
 
     /// Runs a test against the started home and then stops it.
     void run(const std::function<boost::asio::awaitable<void>()>& test) {
@@ -83,6 +92,8 @@
     skipping_clock clock_;
     group group_;
     operators::service_declaration declaration_;
+    std::shared_ptr<std::vector<daemons::hold_back_notice>> announced_ =
+        std::make_shared<std::vector<daemons::hold_back_notice>>();
     std::shared_ptr<home> home_;
 
 private:
--- a/tests/proxy/test_entry.cpp
+++ b/tests/proxy/test_entry.cpp
@@ -1,5 +1,7 @@
 #include <proxy/entry.hpp>
 
+#include <daemons/hold_back_table.hpp>
+
 #include <gtest/gtest.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -8,6 +10,7 @@
 
 #include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -38,12 +41,21 @@
                                             clock::duration /*timeout*/) {
         peers_.push_back(peer.port());
         requests_.push_back(request);
+        hold_backs_ = later_hold_backs_.value_or(hold_backs_);
         const forward_result next = script_.front();
         if (script_.size() > 1) {
             script_.pop_front();
         }
         co_return next;
     }
+    [[nodiscard]] std::optional<clock::duration> find_hold_back(const base::endpoint& /*peer*/,
+                                                                std::string_view group, std::string_view rank,
+                                                                base::database_role role) const {
+        return hold_backs_.find_refusal(group, rank, role, clock::now(), 0);
+    }
+    daemons::hold_back_table hold_backs_;
+    /// In force from the next forwarded request on.
+    std::optional<daemons::hold_back_table> later_hold_backs_;
     std::deque<forward_result> script_;
     std::vector<std::uint16_t> peers_;
     std::vector<base::request> requests_;
@@ -173,6 +185,33 @@
     EXPECT_EQ(ask(write, {lost})->outcome_, outcome::not_run);
 }
 
+// Guards against requests that are sent to a home only to be refused there, and against a notice that stops
+// what has to go through: steps of open transactions, questions for an outcome, and repeats of a lost write.
+TEST_F(entry, held_back_requests_are_refused_at_the_edge) {
+    const daemons::hold_back_notice notice{daemons::hold_back_notice_fields{
+        "ledger", "payout", base::database_role::primary, 0, clock::duration{900}}};
+    forwarder_.hold_backs_ = forwarder_.hold_backs_.with(std::span{&notice, 1}, clock::now());
+    const auto begin =
+        write_request("k").with([](auto& fields) { fields.step_ = base::transaction_step::begin; });
+    for (const auto& request : {write_request("k"), write_request(std::nullopt), read_request(), begin}) {
+        const auto refused_here = ask(request, {done});
+        EXPECT_EQ(refused_here->outcome_, outcome::not_run);
+        EXPECT_EQ(refused_here->error_->kind(), error_kind::overloaded);
+        EXPECT_GT(refused_here->retry_after_, clock::duration{0});
+        EXPECT_TRUE(forwarder_.requests_.empty());
+    }
+    EXPECT_EQ(ask(question(), {done})->outcome_, outcome::done);
+    const auto commit = begin.with([](auto& fields) {
+        fields.step_ = base::transaction_step::commit;
+        fields.transaction_ = proxy::transaction_handle{"entry-2", 9}.to_string();
+    });
+    EXPECT_EQ(ask(commit, {done})->outcome_, outcome::done);
+    forwarder_.later_hold_backs_ = std::exchange(forwarder_.hold_backs_, daemons::hold_back_table{});
+    EXPECT_EQ(ask(write_request("k"), {lost, done})->outcome_, outcome::done);
+    set_members({member_of("entry-1", 1)});
+    EXPECT_EQ(ask(write_request("k"), {unsent})->outcome_, outcome::done);
+}
+
 // Guards against a question for an outcome that is answered "not run" because the question itself failed.
 TEST_F(entry, a_question_that_failed_says_nothing_about_its_key) {
     EXPECT_EQ(ask(question(), {unsent})->outcome_, outcome::unknown);
--- /dev/null
+++ b/tests/proxy/test_hold_back.cpp
@@ -0,0 +1,113 @@
+#include "running_home.hpp"
+
+#include <proxy/hold_back_decision.hpp>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace {
+
+namespace asio = boost::asio;
+using base::clock;
+using base::outcome;
+using daemons::hold_back_notice;
+
+constexpr auto primary = base::database_role::primary;
+constexpr auto replica = base::database_role::replica;
+
+operators::service_declaration declare() {
+    return operators::service_declaration_fields{
+        .name_ = "ledger",
+        .slots_ = 2,
+        .ranks_ = {{.name_ = "urgent"}, {.name_ = "normal"}, {.name_ = "low"}, {.name_ = "bulk"}}};
+}
+
+backends::queue_load load_with_wait(std::int64_t wait_ms) {
+    return backends::queue_load_fields{
+        .ranks_ = {{.rank_ = "low", .queued_ = 1, .expected_wait_ = clock::duration{wait_ms}}}};
+}
+
+} // namespace
+
+// Guards against a home that holds back ranks without a backlog or lets a hopeless one in.
+TEST(hold_back, home_admits_less_the_longer_the_wait) {
+    const auto declaration = declare();
+    const auto percent_at = [&](std::int64_t wait_ms) {
+        const auto notices = proxy::decide_hold_back(declaration, primary, load_with_wait(wait_ms));
+        EXPECT_EQ(notices.size(), 4U);
+        EXPECT_EQ(notices.at(0)->percent_, 100U) << "the rank without backlog";
+        EXPECT_LE(notices.at(2)->valid_for_, clock::duration{wait_ms / 2});
+        return notices.at(2)->percent_;
+    };
+    EXPECT_EQ(percent_at(0), 100U);
+    EXPECT_EQ(percent_at(1'000), 100U);
+    EXPECT_EQ(percent_at(1'500), 50U);
+    EXPECT_EQ(percent_at(2'000), 0U);
+    EXPECT_EQ(percent_at(60'000), 0U);
+}
+
+// Guards against entry daemons that hear nothing of the end of a flood, and against notices without need.
+TEST(hold_back, only_changes_and_held_ranks_are_announced) {
+    const auto calm = proxy::decide_hold_back(declare(), primary, load_with_wait(0));
+    const auto loaded = proxy::decide_hold_back(declare(), primary, load_with_wait(1'500));
+    EXPECT_TRUE(proxy::select_notices({}, calm).empty());
+    EXPECT_TRUE(proxy::select_notices(calm, calm).empty());
+    EXPECT_EQ(proxy::select_notices(calm, loaded), std::vector{loaded.at(2)});
+    EXPECT_EQ(proxy::select_notices(loaded, loaded), std::vector{loaded.at(2)});
+    EXPECT_EQ(proxy::select_notices(loaded, calm), std::vector{calm.at(2)});
+}
+
+// Guards against a flood of writes that has reads refused although a replica is free, and against reads that
+// only the primary can serve and that pass a notice about it.
+TEST(hold_back, reads_wait_for_the_databases_that_may_serve_them) {
+    const auto role_of = [](base::request request, clock::duration staleness) {
+        return proxy::needed_role(
+            proxy::routed_request_fields{.request_ = std::move(request), .staleness_ = staleness});
+    };
+    const clock::duration stale{500};
+    EXPECT_EQ(role_of(fakes::read_request(), stale), replica);
+    EXPECT_EQ(role_of(fakes::read_request(), clock::duration{0}), primary);
+    EXPECT_EQ(role_of(fakes::write_request("add a 1"), clock::duration{0}), primary);
+    const auto first_read = fakes::read_request().with(
+        [](auto& fields) { fields.session_ = base::session_state::without_token; });
+    EXPECT_EQ(role_of(first_read, stale), primary);
+}
+
+// Guards against a home that never tells the entry daemons of its backlog, or never of its end.
+TEST(hold_back, a_home_announces_its_backlog_and_its_end) {
+    fakes::running_home running{1, 1'000};
+    running.run([&]() -> asio::awaitable<void> {
+        int ended = 0;
+        const auto flood = [&](clock::duration time) {
+            running.spawn([&, time]() -> asio::awaitable<void> {
+                const auto answer = co_await running.ask(fakes::write_request("add a 1", time));
+                EXPECT_NE(answer->outcome_, outcome::unknown);
+                ++ended;
+            });
+        };
+        const auto& announced = *running.announced_;
+        const auto held = [&] {
+            return std::any_of(announced.begin(), announced.end(),
+                               [](const auto& notice) { return notice->percent_ < 100; });
+        };
+        flood(clock::duration{5'000});
+        co_await running.wait_until([&] { return ended == 1; });
+        EXPECT_TRUE(announced.empty());
+        running.primary().statement_time_ = clock::duration{50};
+        for (int index = 0; index < 60; ++index) {
+            flood(clock::duration{5'000});
+        }
+        co_await running.wait_until(held);
+        for (const auto& notice : announced) {
+            EXPECT_EQ(notice->group_, "ledger");
+            EXPECT_EQ(notice->rank_, "payout");
+            EXPECT_EQ(notice->role_, primary);
+        }
+        running.primary().statement_time_ = clock::duration{0};
+        co_await running.wait_until([&] { return ended == 61; });
+        co_await running.wait_until([&] { return announced.back()->percent_ == 100; });
+    });
+}
