--- a/libraries/proxy/entry.hpp
+++ b/libraries/proxy/entry.hpp
@@ -10,6 +10,7 @@
 #include <proxy/daemon_state.hpp>
 #include <proxy/entry_decision.hpp>
 #include <proxy/events.hpp>
+#include <proxy/hold_back_decision.hpp>
 #include <proxy/routing.hpp>
 #include <proxy/transaction_handle.hpp>
 
@@ -19,6 +20,7 @@
 #include <concepts>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -33,7 +35,11 @@
 /// Asks other daemons to serve requests.
 template <typename Forwarder>
 concept request_forwarder = requires(Forwarder& forwarder, base::endpoint peer, base::request request,
-                                     base::clock::duration timeout) {
+                                     base::clock::duration timeout, std::string_view name,
+                                     base::database_role role) {
+    {
+        forwarder.find_hold_back(peer, name, name, role)
+        } -> std::same_as<std::optional<base::clock::duration>>;
     {
         forwarder.forward(peer, request, timeout)
         } -> std::same_as<boost::asio::awaitable<base::result<base::answer>>>;
@@ -57,28 +63,50 @@
             request.with([this](base::request_fields& fields) { fields.id_ = state_.next_request_number(); });
         const auto routed = route(*configuration, numbered);
         if (!routed) {
-            co_return base::not_run(routed.last_reason());
+            const auto refused = base::not_run(routed.last_reason());
+            co_return vouch_for(refused, numbered, earlier_forwards::none_ran);
         }
         const auto deadline = clock_.now() + (*routed)->request_->time_left_;
+        auto earlier = earlier_forwards::none_ran;
         while (true) {
             const auto home = find_home(*routed);
             if (!home) {
-                co_return base::not_run(base::error{base::error_kind::peer_unavailable,
-                                                    "no live daemon can serve the database group"});
+                const auto refused = base::not_run(base::error{
+                    base::error_kind::peer_unavailable, "no live daemon can serve the database group"});
+                co_return vouch_for(refused, numbered, earlier);
             }
             const auto timed = with_time_left(*routed, deadline);
             if ((*home)->name_ == state_.settings()->name_) {
-                co_return co_await homes_.execute(timed);
+                const auto served = co_await homes_.execute(timed);
+                co_return vouch_for(served, numbered, earlier);
+            }
+            // A request that may have run already goes on, because only its home can find out.
+            const auto pause =
+                earlier == earlier_forwards::none_ran ? find_hold_back(*home, timed) : std::nullopt;
+            if (pause) {
+                co_return base::not_run(base::error{base::error_kind::overloaded,
+                                                    "the home of the database group holds back this rank"},
+                                        *pause);
             }
-            auto answered = co_await forward(*home, timed, deadline);
-            if (std::holds_alternative<base::answer>(answered)) {
-                co_return std::get<base::answer>(std::move(answered));
+            const auto answered = co_await forward(*home, timed, deadline);
+            if (std::holds_alternative<base::answer>(answered.action_)) {
+                co_return vouch_for(std::get<base::answer>(answered.action_), numbered, earlier);
+            }
+            if (answered.failure_ == forward_failure::answer_lost) {
+                earlier = earlier_forwards::may_have_run;
             }
             co_await http::sleep_for(pause_before_next_home);
         }
     }
 
 private:
+    /// What a forwarded request has come to.
+    struct forwarded {
+        entry_action action_;
+        /// Set when no answer arrived.
+        std::optional<forward_failure> failure_;
+    };
+
     [[nodiscard]] base::clock::duration time_until(base::clock::time_point deadline) const {
         return std::max(deadline - clock_.now(), base::clock::duration{0});
     }
@@ -105,14 +133,23 @@
         return choice ? std::optional{choice->home_} : std::nullopt;
     }
 
-    boost::asio::awaitable<entry_action> forward(daemons::member home, routed_request routed,
-                                                 base::clock::time_point deadline) {
+    [[nodiscard]] std::optional<base::clock::duration> find_hold_back(const daemons::member& home,
+                                                                      const routed_request& routed) {
+        const auto& request = routed->request_;
+        return may_be_held_back(request) ? forwarder_.find_hold_back(home->address_, request->service_,
+                                                                     request->rank_, needed_role(routed))
+                                         : std::nullopt;
+    }
+
+    boost::asio::awaitable<forwarded> forward(daemons::member home, routed_request routed,
+                                              base::clock::time_point deadline) {
         const auto& request = routed->request_;
         // The home answers by the deadline; the margin lets that answer arrive instead of being given up.
         auto answered =
             co_await forwarder_.forward(home->address_, request, request->time_left_ + answer_margin);
         if (answered) {
-            co_return entry_action{*std::move(answered)};
+            forwarded served{*std::move(answered), std::nullopt};
+            co_return served;
         }
         const auto& reason = answered.last_reason();
         base::log_event(
@@ -120,7 +157,8 @@
             {{"group", request->service_}, {"home", home->name_}, {"reason", reason.to_string()}});
         const auto failure =
             daemons::may_have_run(reason) ? forward_failure::answer_lost : forward_failure::not_sent;
-        co_return decide_after_lost_home(request, failure, reason, time_until(deadline));
+        forwarded failed{decide_after_lost_home(request, failure, reason, time_until(deadline)), failure};
+        co_return failed;
     }
 
     static constexpr base::clock::duration answer_margin{100};
--- a/libraries/proxy/group_home.hpp
+++ b/libraries/proxy/group_home.hpp
@@ -3,6 +3,7 @@
 #include <backends/connection_pool.hpp>
 #include <backends/database_connection.hpp>
 #include <backends/group_monitor.hpp>
+#include <backends/load_events.hpp>
 #include <backends/outcome_decision.hpp>
 #include <backends/pooled_connections.hpp>
 #include <backends/replica_choice.hpp>
@@ -19,6 +20,7 @@
 #include <proxy/daemon_report.hpp>
 #include <proxy/events.hpp>
 #include <proxy/fingerprint.hpp>
+#include <proxy/hold_back_decision.hpp>
 #include <proxy/routing.hpp>
 #include <proxy/transaction_handle.hpp>
 
@@ -36,6 +38,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,16 +62,19 @@
 /// this class carries them out. Thread safety: used by the thread of its executor only. Lifetime: held by a
 /// `std::shared_ptr`; its coroutines keep it alive until `stop`. `Clock` outlives it.
 template <backends::request_queue Queue, backends::database_connector Connector, base::time_source Clock,
-          backends::suspicion_check Check>
-class group_home : public std::enable_shared_from_this<group_home<Queue, Connector, Clock, Check>> {
+          backends::suspicion_check Check, hold_back_announcer Announcer>
+class group_home
+    : public std::enable_shared_from_this<group_home<Queue, Connector, Clock, Check, Announcer>> {
 public:
     group_home(boost::asio::any_io_executor executor, operators::service_declaration declaration,
-               home_identity identity, Connector connector, const Clock& clock, Check check)
+               home_identity identity, Connector connector, const Clock& clock, Check check,
+               Announcer announcer)
         : executor_{std::move(executor)}, declaration_{std::move(declaration)}, identity_{std::move(
                                                                                     identity)},
-          connector_{std::move(connector)}, clock_{clock}, random_{identity_.random_seed_},
-          monitor_{
-              std::make_shared<monitor>(executor_, monitor_settings(), connector_, clock_, std::move(check))},
+          connector_{std::move(connector)}, clock_{clock}, announcer_{std::move(announcer)},
+          random_{identity_.random_seed_}, monitor_{std::make_shared<monitor>(executor_, monitor_settings(),
+                                                                              connector_, clock_,
+                                                                              std::move(check))},
           primary_lane_{std::make_shared<lane>(executor_, declaration_, clock_)},
           replica_lane_{std::make_shared<lane>(executor_, declaration_, clock_)} {
         for (const auto& database : declaration_->databases_) {
@@ -89,10 +95,15 @@
     void stop() {
         stopping_ = true;
         monitor_->stop();
+        primary_lane_->stop();
+        replica_lane_->stop();
         transactions_.clear();
         for (auto& [name, connections] : pools_) {
             connections->close();
         }
+        for (auto& statement : running_) {
+            statement.connection_->close();
+        }
     }
 
     /// Returns whether no request is in flight and no transaction is open.
@@ -250,8 +261,21 @@
         co_return co_await attempt_statements(routed, deadline);
     }
 
+    // A home that stops makes no further attempt, so that no request outlives it up to its deadline.
     backends::outcome_decision decide(const routed_request& routed, const attempt& last,
                                       backends::earlier_attempts earlier, time_point deadline) {
+        if (stopping_) {
+            auto decision = decide_in_time(routed, last, earlier, clock_.now());
+            if (decision.error_ == base::error_kind::deadline_expired) {
+                decision.error_ = base::error_kind::shutting_down;
+            }
+            return decision;
+        }
+        return decide_in_time(routed, last, earlier, deadline);
+    }
+
+    backends::outcome_decision decide_in_time(const routed_request& routed, const attempt& last,
+                                              backends::earlier_attempts earlier, time_point deadline) {
         const auto& request = routed->request_;
         const backends::ended_attempt ended{
             .end_ = last->end_,
@@ -405,8 +429,7 @@
             backends::settle_request_fields{.term_ = primary->term_,
                                             .key_ = recorded_key_of(request),
                                             .fingerprint_ = settled_fingerprint(request)}};
-        const running_registration registered{running_, {primary->database_, primary->term_, &**leased}};
-        const auto answer = co_await (*leased)->settle(question, time_until(deadline));
+        const auto answer = co_await send_settle(*leased, primary->database_, question, deadline);
         if (!answer) {
             co_return failed_attempt(backends::attempt_end::settle_failed, answer.last_reason().message());
         }
@@ -612,15 +635,19 @@
         if (const auto refused = co_await taken.connection_.resume(deadline)) {
             co_return base::not_run(base::error{base::error_kind::transaction_aborted, refused->message()});
         }
-        co_return co_await run_step(routed, handle->number(), std::move(taken), deadline);
+        co_return co_await run_step(routed, handle->number(), std::move(taken), std::move(*admission.ticket_),
+                                    deadline);
     }
 
     boost::asio::awaitable<base::answer> run_step(routed_request routed, std::uint64_t number,
-                                                  open_transaction taken, time_point deadline) {
+                                                  open_transaction taken, typename lane::ticket slot,
+                                                  time_point deadline) {
         const auto& request = routed->request_;
         const auto statements = statements_of(request, taken.term_);
         auto sent =
             co_await send(taken.connection_, taken.database_, path_of(request->step_), statements, deadline);
+        // Settling a commit takes a slot of its own, which may be the one that this step has held.
+        slot.release();
         const bool ran = sent && !(*sent)->refusal_;
         if (request->step_ == base::transaction_step::statement && ran) {
             taken.connection_.pause();
@@ -639,6 +666,8 @@
         }
         if (sent) {
             taken.connection_.give_back();
+        } else {
+            taken.connection_.discard();
         }
         if (request->step_ == base::transaction_step::rollback) {
             // With or without an answer: the connection is closed or rolled back.
@@ -684,6 +713,14 @@
         co_return co_await leased->run(path, statements, time_until(deadline));
     }
 
+    // Registered only until the answer: a connection that was given back may be closed or serve another
+    // request by the time the term changes.
+    boost::asio::awaitable<base::result<backends::settle_answer>>
+    send_settle(guard& leased, std::string database, backends::settle_request question, time_point deadline) {
+        const running_registration registered{running_, {std::move(database), question->term_, &*leased}};
+        co_return co_await leased->settle(question, time_until(deadline));
+    }
+
     [[nodiscard]] backends::execute_request statements_of(const base::request& request,
                                                           std::uint64_t term) const {
         backends::execute_request_fields fields{
@@ -789,10 +826,35 @@
                 self->maintain();
             }
             const bool busy = self->in_flight_ > 0;
+            if (self->clock_.now() - self->announced_at_ >= hold_back_period && (busy || self->holds_back_)) {
+                self->announce_hold_back();
+            }
             co_await http::sleep_for(busy ? busy_period : idle_period);
         }
     }
 
+    // Tells the entry daemons how much of each rank to admit, for as long as it is not everything.
+    void announce_hold_back() {
+        announced_at_ = clock_.now();
+        auto present = decide_hold_back(declaration_, base::database_role::primary, primary_lane_->load());
+        const auto reads =
+            decide_hold_back(declaration_, base::database_role::replica, replica_lane_->load());
+        present.insert(present.end(), reads.begin(), reads.end());
+        const auto notices = select_notices(announced_, present);
+        const bool holds_back = std::any_of(notices.begin(), notices.end(),
+                                            [](const auto& notice) { return notice->percent_ < 100; });
+        if (holds_back != holds_back_) {
+            base::log_event(holds_back ? backends::load_events::hold_back_started
+                                       : backends::load_events::hold_back_ended,
+                            {{"group", declaration_->name_}});
+        }
+        holds_back_ = holds_back;
+        announced_ = std::move(present);
+        if (!notices.empty()) {
+            announcer_(std::span<const daemons::hold_back_notice>{notices});
+        }
+    }
+
     void update_lanes() {
         const auto& view = monitor_->view();
         const auto primary = monitor_->usable_primary();
@@ -860,6 +922,7 @@
     static constexpr duration busy_period{25};
     static constexpr duration idle_period{250};
     static constexpr duration maintenance_period{1'000};
+    static constexpr duration hold_back_period{100};
     static constexpr duration transaction_idle_limit{30'000};
 
     boost::asio::any_io_executor executor_;
@@ -867,6 +930,7 @@
     home_identity identity_;
     Connector connector_;
     const Clock& clock_;
+    Announcer announcer_;
     std::mt19937_64 random_;
     std::shared_ptr<monitor> monitor_;
     std::shared_ptr<lane> primary_lane_;
@@ -877,6 +941,9 @@
     std::map<std::uint64_t, open_transaction> transactions_;
     std::list<running_statement> running_;
     std::uint64_t in_flight_ = 0;
+    std::vector<daemons::hold_back_notice> announced_;
+    time_point announced_at_{};
+    bool holds_back_ = false;
     bool stopping_ = false;
 };
 
--- a/tests/daemons/test_codec.cpp
+++ b/tests/daemons/test_codec.cpp
@@ -174,10 +174,18 @@
     expect_round_trip(reachability::reachable);
     expect_round_trip(configuration_fetch{configuration_fetch_fields{4}});
     expect_round_trip(configuration_offer{configuration_offer_fields{4, "content"}});
-    expect_round_trip(hold_back_notice{hold_back_notice_fields{"ledger", "low", base::clock::duration{50}}});
+    expect_round_trip(hold_back_notice{hold_back_notice_fields{"ledger", "low", base::database_role::replica,
+                                                               30, base::clock::duration{50}}});
     expect_round_trip(sample_datagram());
 }
 
+// Guards against a question for an outcome that another daemon cannot read, so that it closes the connection.
+TEST(message_codec, every_kind_of_access_round_trips) {
+    for (const auto access : {base::access::read, base::access::write, base::access::settle}) {
+        expect_round_trip(sample_request().with([access](auto& fields) { fields.access_ = access; }));
+    }
+}
+
 // Guards against crashes and unbounded allocation on corrupted or hostile bytes.
 TEST(message_codec, corrupted_messages_are_contained) {
     expect_corruption_is_contained(sample_request());
@@ -209,11 +217,3 @@
 TEST(events, catalogue_lists_exactly_the_defined_events) {
     support::expect_catalogue(events::all, 600, 699);
 }
-
-// Guards against a question for an outcome that breaks the connection between daemons: its access was once
-// beyond the greatest value that the decoder took.
-TEST(message_codec, every_access_survives_the_round_trip) {
-    for (const auto wanted : {base::access::read, base::access::write, base::access::settle}) {
-        expect_round_trip(sample_request().with([wanted](auto& fields) { fields.access_ = wanted; }));
-    }
-}
