Daemons: Keep the homes of all groups in a table that follows the members

Each thread of a daemon compared all members of a region for every service five times a second. The table chooses anew only where a member that went was home or standby, or one that came outweighs them; nothing is examined while members and configuration stay the same.

--- a/libraries/proxy/worker.hpp
+++ b/libraries/proxy/worker.hpp
@@ -7,6 +7,7 @@
 #include <base/event.hpp>
 #include <base/metric_registry.hpp>
 #include <callers/front_end.hpp>
+#include <daemons/home_table.hpp>
 #include <daemons/peer_client.hpp>
 #include <daemons/peer_server.hpp>
 #include <http/server.hpp>
@@ -212,6 +213,7 @@
 
     boost::asio::awaitable<void> keep_homes() {
         while (!stopping_) {
+            home_table_.update(state_.members().get());
             open_own_homes();
             close_foreign_homes();
             stop_retired_homes();
@@ -219,10 +221,8 @@
         }
     }
 
-    [[nodiscard]] bool is_home_here(const operators::service_declaration& declaration) const {
-        const auto members = state_.members().get();
-        const auto choice = daemons::choose_home(*members, declaration->region_, declaration->name_);
-        return choice && choice->home_->name_ == state_.settings()->name_;
+    [[nodiscard]] bool is_home_here(const operators::service_declaration& declaration) {
+        return home_table_.find(declaration->region_, declaration->name_).home_ == state_.settings()->name_;
     }
 
     // A home watches its group also while nobody asks, so that a failed primary is replaced before the next
@@ -232,11 +232,21 @@
             return;
         }
         const auto configuration = state_.configuration().get();
+        const auto members = state_.members().get();
+        // A pass over 12,000 services five times a second would exceed the budget for control.
+        if (configuration == examined_configuration_ && members == examined_members_) {
+            return;
+        }
         for (const auto& declaration : (*configuration)->services_) {
             if (&owner_of(declaration->name_) == this && is_home_here(declaration)) {
                 open_home(declaration);
             }
         }
+        if (configuration != examined_configuration_) {
+            home_table_.forget_unasked();
+        }
+        examined_configuration_ = configuration;
+        examined_members_ = members;
     }
 
     void close_foreign_homes() {
@@ -279,6 +289,10 @@
     std::shared_ptr<peer_server> peer_server_;
     std::map<std::string, std::shared_ptr<home>> homes_;
     std::vector<std::shared_ptr<home>> retired_;
+    daemons::home_table home_table_;
+    /// What the last pass over all services was made with.
+    std::shared_ptr<const operators::configuration> examined_configuration_;
+    std::shared_ptr<const daemons::member_list> examined_members_;
     std::uint64_t opened_homes_ = 0;
     bool stopping_ = false;
 };
--- a/utilities/sassafras_slopes/decision_slopes.cpp
+++ b/utilities/sassafras_slopes/decision_slopes.cpp
@@ -4,12 +4,14 @@
 #include <backends/admission_queue.hpp>
 #include <backends/group_view.hpp>
 #include <daemons/home_choice.hpp>
+#include <daemons/home_table.hpp>
 #include <daemons/member_list.hpp>
 #include <operators/configuration_codec.hpp>
 #include <utilities/sassafras_slopes/table.hpp>
 
 #include <concepts>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -160,6 +162,41 @@
     print_row("choose_home", "us", samples, target_region_members);
 }
 
+void measure_home_table() {
+    const std::vector<double> sizes{100, 1'000, 3'000, 12'000};
+    std::vector<sample> anew;
+    std::vector<sample> gone;
+    std::vector<sample> come;
+    std::vector<sample> memory;
+    const auto all = std::make_shared<const daemons::member_list>(region_of(700));
+    const auto fewer = std::make_shared<const daemons::member_list>(region_of(699));
+    for (const auto size : sizes) {
+        std::vector<std::string> groups;
+        for (std::size_t number = 0; number < static_cast<std::size_t>(size); ++number) {
+            groups.push_back("ledger_" + std::to_string(1'000'000 + number));
+        }
+        const auto before = allocated_bytes();
+        daemons::home_table table;
+        const auto change = [&](const std::shared_ptr<const daemons::member_list>& members) {
+            return microseconds_of(1, [&] {
+                table.update(members);
+                for (const auto& group : groups) {
+                    static_cast<void>(table.find("region-1", group));
+                }
+            });
+        };
+        anew.push_back({size, change(all)});
+        memory.push_back({size, allocated_bytes() - before});
+        gone.push_back({size, change(fewer)});
+        come.push_back({size, change(all)});
+    }
+    print_header("homes of all groups, 700 members in the region", "services", sizes, target_services);
+    print_row("choose all anew", "us", anew, target_services);
+    print_row("one member goes", "us", gone, target_services);
+    print_row("one member comes", "us", come, target_services);
+    print_row("memory", "B", memory, target_services);
+}
+
 void measure_configuration() {
     const std::vector<double> sizes{10, 100, 300, 1'000, 3'000};
     std::vector<sample> bytes;
--- a/utilities/sassafras_slopes/decision_slopes.hpp
+++ b/utilities/sassafras_slopes/decision_slopes.hpp
@@ -11,6 +11,9 @@
 /// Measures the choice of one group's home against the members of its region.
 void measure_home_choice();
 
+/// Measures what a change of the members costs a daemon against the services, with 700 members in the region.
+void measure_home_table();
+
 /// Measures size, encoding and decoding of a configuration against its services.
 void measure_configuration();
 
--- a/utilities/sassafras_slopes/fleet_slopes.cpp
+++ b/utilities/sassafras_slopes/fleet_slopes.cpp
@@ -18,6 +18,7 @@
 constexpr double target_members = 4'900;
 constexpr clock::duration longest_wait{300'000};
 constexpr clock::duration steady_time{20'000};
+constexpr clock::duration settling_time{3'000};
 constexpr std::size_t failure_domains = 18;
 
 std::vector<double> as_numbers(const std::vector<std::size_t>& sizes) {
@@ -73,23 +74,18 @@
 }
 
 void measure_domain_loss(simulated_fleet& fleet, std::size_t size, rows& table) {
-    std::vector<std::size_t> lost;
+    // The crash of one member before this is still known as a death.
+    std::size_t lost = 1;
     for (std::size_t member = 1; member < size; member += failure_domains) {
-        fleet.crash(member);
-        lost.push_back(member);
+        if (member != size / 2) {
+            fleet.crash(member);
+            ++lost;
+        }
     }
     const auto bytes = fleet.datagram_bytes();
     const auto processor = processor_seconds();
-    const auto all_known = [&] {
-        for (const auto member : lost) {
-            if (!fleet.all_see(member, daemons::member_state::dead)) {
-                return false;
-            }
-        }
-        return true;
-    };
     const auto number = static_cast<double>(size);
-    const auto seconds = fleet.run_until(all_known, longest_wait);
+    const auto seconds = fleet.run_until([&] { return fleet.all_count_dead(lost); }, longest_wait);
     table.add("1/18 lost at once, known by all", "s", number, seconds);
     table.add("bytes sent meanwhile", "B/s", number, (fleet.datagram_bytes() - bytes) / number / seconds);
     table.add("processor time meanwhile", "us/s", number,
@@ -101,12 +97,9 @@
 void measure_membership(const std::vector<std::size_t>& sizes, std::uint64_t seed) {
     rows table;
     for (const auto size : sizes) {
-        const auto number = static_cast<double>(size);
-        simulated_fleet fleet{size, 1, seed};
-        table.add("all started at once, all known by all", "s", number,
-                  fleet.run_until([&] { return fleet.all_see_live(size); }, longest_wait));
-        fleet.run(steady_time);
-        measure_steady(fleet, number, table);
+        simulated_fleet fleet{size, 1, first_knowledge::everyone, seed};
+        fleet.run(settling_time);
+        measure_steady(fleet, static_cast<double>(size), table);
         measure_changes(fleet, size, table);
         fleet.run(steady_time);
         measure_domain_loss(fleet, size, table);
@@ -115,6 +108,20 @@
     table.print(target_members);
 }
 
+void measure_cold_start(const std::vector<std::size_t>& sizes, std::uint64_t seed) {
+    rows table;
+    for (const auto size : sizes) {
+        const auto number = static_cast<double>(size);
+        simulated_fleet fleet{size, 1, first_knowledge::seeds, seed};
+        const auto seconds = fleet.run_until([&] { return fleet.all_see_live(size); }, longest_wait);
+        table.add("all known by all", "s", number, seconds);
+        table.add("bytes sent meanwhile", "B/s", number, fleet.datagram_bytes() / number / seconds);
+    }
+    print_header("start of a whole fleet, one process, simulated time", "members", as_numbers(sizes),
+                 target_members);
+    table.print(target_members);
+}
+
 void measure_member_memory(const std::vector<std::size_t>& sizes) {
     rows table;
     for (const auto size : sizes) {
@@ -153,9 +160,8 @@
     rows table;
     for (const auto size : sizes) {
         const auto number = static_cast<double>(size);
-        simulated_fleet fleet{size, regions, seed};
-        fleet.run_until([&] { return fleet.all_see_live(size); }, longest_wait);
-        fleet.run(steady_time);
+        simulated_fleet fleet{size, regions, first_knowledge::everyone, seed};
+        fleet.run(settling_time);
         auto fetches = fleet.fetches();
         fleet.publish(1);
         table.add("one revision in force everywhere", "s", number,
--- a/utilities/sassafras_slopes/main.cpp
+++ b/utilities/sassafras_slopes/main.cpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-DEFINE_string(part, "all", "membership, spread, backends, homes, operators or all");
+DEFINE_string(part, "all", "membership, start, spread, backends, homes, operators or all");
 DEFINE_string(members, "10,50,100,200,300", "sizes of the simulated fleets, at least two");
 DEFINE_uint64(seed, 1, "seed of the simulated fleets");
 
@@ -44,6 +44,9 @@
         measure_membership(sizes, FLAGS_seed);
         measure_member_memory({10, 100, 300, 700, 4'900});
     }
+    if (is_wanted("start")) {
+        measure_cold_start(sizes, FLAGS_seed);
+    }
     if (is_wanted("spread")) {
         measure_spread(sizes, 1, FLAGS_seed);
         measure_spread(sizes, 7, FLAGS_seed);
@@ -54,6 +57,7 @@
     }
     if (is_wanted("homes")) {
         measure_home_choice();
+        measure_home_table();
     }
     if (is_wanted("operators")) {
         measure_configuration();
--- a/utilities/sassafras_slopes/simulated_fleet.cpp
+++ b/utilities/sassafras_slopes/simulated_fleet.cpp
@@ -5,6 +5,7 @@
 #include <daemons/watcher_choice.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace sassafras_slopes {
 
@@ -31,7 +32,8 @@
 
 } // namespace
 
-simulated_fleet::simulated_fleet(std::size_t members, std::size_t regions, std::uint64_t seed)
+simulated_fleet::simulated_fleet(std::size_t members, std::size_t regions, first_knowledge knowledge,
+                                 std::uint64_t seed)
     : regions_{regions}, random_{seed} {
     std::vector<std::size_t> seeds;
     for (std::size_t number = 0; number < std::min(first_seeds, members); ++number) {
@@ -40,6 +42,32 @@
     for (std::size_t number = 0; number < members; ++number) {
         start(number, seeds);
     }
+    if (knowledge == first_knowledge::everyone) {
+        introduce_everyone();
+    }
+}
+
+// Gossip would bring the members to the same state; at thousands of members that takes long to simulate.
+void simulated_fleet::introduce_everyone() {
+    std::map<std::string, daemons::known_member> everyone;
+    std::vector<std::string> names;
+    for (const auto& each : participants_) {
+        const auto& self = daemons::self_of(each.membership_);
+        everyone[self->name_] = {self, now_, std::nullopt};
+        names.push_back(self->name_);
+    }
+    for (auto& each : participants_) {
+        auto& state = each.membership_;
+        state.members_ = everyone;
+        state.probe_order_ = names;
+        std::erase(state.probe_order_, state.self_);
+        std::ranges::shuffle(state.probe_order_, random_);
+        state.list_complete_ = true;
+        // Daemons that have run for long do not probe at the same moment.
+        state.next_period_ = now_ + clock::duration{static_cast<std::int64_t>(random_() % 500)};
+        state.next_exchange_ = now_ + clock::duration{static_cast<std::int64_t>(random_() % 2'000)};
+        state.next_heal_ = now_ + clock::duration{static_cast<std::int64_t>(random_() % 10'000)};
+    }
 }
 
 void simulated_fleet::start(std::size_t number, const std::vector<std::size_t>& seeds) {
@@ -129,6 +157,12 @@
     });
 }
 
+bool simulated_fleet::all_count_dead(std::size_t count) const {
+    return std::ranges::all_of(participants_, [count](const participant& each) {
+        return !each.runs_ || each.membership_.dead_.size() == count;
+    });
+}
+
 bool simulated_fleet::all_have(std::uint64_t revision) const {
     return std::ranges::all_of(participants_, [revision](const participant& each) {
         return !each.runs_ || each.spread_.revision_ >= revision;
--- a/utilities/sassafras_slopes/simulated_fleet.hpp
+++ b/utilities/sassafras_slopes/simulated_fleet.hpp
@@ -15,15 +15,22 @@
 
 namespace sassafras_slopes {
 
+/// What the members know of one another at the start.
+enum class first_knowledge : std::uint8_t {
+    /// Each knows five seeds, as when a whole fleet starts at once.
+    seeds,
+    /// Each knows all others, as in a fleet that has run for long.
+    everyone,
+};
+
 /// Many daemons' membership and configuration decisions in one process with simulated time.
 ///
 /// Datagrams are encoded and decoded as the daemon does it; no socket is involved and none is lost. The way
 /// takes 1 ms inside a region and 40 ms between regions. Thread safety: one thread.
 class simulated_fleet {
 public:
-    /// Spreads the members evenly over regions and over 18 failure domains. All start at once with five
-    /// seeds.
-    simulated_fleet(std::size_t members, std::size_t regions, std::uint64_t seed);
+    /// Spreads the members evenly over regions and over 18 failure domains.
+    simulated_fleet(std::size_t members, std::size_t regions, first_knowledge knowledge, std::uint64_t seed);
 
     /// Lets time pass.
     void run(base::clock::duration length);
@@ -41,6 +48,8 @@
     [[nodiscard]] bool all_see(std::size_t number, daemons::member_state state) const;
     /// Returns whether all running members know `count` members and all of them as live.
     [[nodiscard]] bool all_see_live(std::size_t count) const;
+    /// Returns whether all running members take exactly `count` members for dead.
+    [[nodiscard]] bool all_count_dead(std::size_t count) const;
     /// Returns whether this revision is in force at all running members.
     [[nodiscard]] bool all_have(std::uint64_t revision) const;
 
@@ -56,6 +65,7 @@
         bool runs_ = true;
     };
 
+    void introduce_everyone();
     void start(std::size_t number, const std::vector<std::size_t>& seeds);
     void apply(std::size_t number, const daemons::membership_event& event);
     void apply_spread(std::size_t number, const daemons::spread_event& event);
--- a/utilities/sassafras_slopes/table.cpp
+++ b/utilities/sassafras_slopes/table.cpp
@@ -2,6 +2,7 @@
 
 #include <malloc.h>
 
+#include <cmath>
 #include <cstddef>
 #include <ctime>
 #include <iomanip>
@@ -31,12 +32,19 @@
 void print_row(std::string_view quantity, std::string_view unit, const std::vector<sample>& samples,
                double target) {
     const auto line = fit(samples);
+    std::vector<sample> logarithmic;
+    for (const auto& each : samples) {
+        logarithmic.push_back({std::log2(each.size_ + 1), each.value_});
+    }
+    const auto by_doublings = fit(logarithmic);
     std::cout << "| " << quantity << " [" << unit << "] ";
     for (const auto& each : samples) {
         std::cout << "| " << std::setprecision(4) << each.value_ << ' ';
     }
     std::cout << "| " << std::setprecision(3) << line.constant_ << " | " << line.slope_ << " | "
-              << std::setprecision(4) << line.constant_ + line.slope_ * target << " |" << std::endl;
+              << std::setprecision(4) << line.constant_ + line.slope_ * target << " | " << by_doublings.slope_
+              << " | " << by_doublings.constant_ + by_doublings.slope_ * std::log2(target + 1) << " |"
+              << std::endl;
 }
 
 void print_header(std::string_view title, std::string_view size_unit, const std::vector<double>& sizes,
@@ -45,8 +53,9 @@
     for (const auto size : sizes) {
         std::cout << "| " << size << ' ';
     }
-    std::cout << "| constant | slope for each | line at " << target << " |\n|---";
-    for (std::size_t column = 0; column < sizes.size() + 3; ++column) {
+    std::cout << "| constant | slope for each | line at " << target
+              << " | slope for each doubling | logarithm at " << target << " |\n|---";
+    for (std::size_t column = 0; column < sizes.size() + 5; ++column) {
         std::cout << "|---";
     }
     std::cout << "|" << std::endl;
--- a/utilities/sassafras_slopes/table.hpp
+++ b/utilities/sassafras_slopes/table.hpp
@@ -27,7 +27,8 @@
 /// Fits by least squares. Precondition: at least two different sizes.
 [[nodiscard]] fitted_line fit(const std::vector<sample>& samples);
 
-/// Prints the samples of one quantity, its line, and the line's value at `target` as one row of Markdown.
+/// Prints the samples of one quantity as one row of Markdown, with the line and the logarithm that fit them
+/// best and the values of both at `target`. What spreads by gossip grows with the logarithm of the fleet.
 void print_row(std::string_view quantity, std::string_view unit, const std::vector<sample>& samples,
                double target);
 
