--- a/tests/history/recorded_run.cpp
+++ b/tests/history/recorded_run.cpp
@@ -16,7 +16,8 @@
             .scheduled_us_ = time_us_,
             .sent_us_ = time_us_,
             .answered_us_ = time_us_ + 5,
-            .service_ = "ledger"};
+            .service_ = "ledger",
+            .tenant_ = "zagreb"};
 }
 
 void run::write(unsigned session, unsigned key, step what) {
@@ -31,10 +32,12 @@
         record.error_ =
             what == step::refused ? base::error_kind::overloaded : base::error_kind::key_cancelled;
         if (what == step::cancelled) {
-            append({.kind_ = entry_kind::cancellation, .key_ = record.key_});
+            append({.kind_ = entry_kind::cancellation, .key_ = history::recorded_key(record)});
         }
     } else {
-        append({.statements_ = record.statements_, .key_ = record.key_, .results_ = {value, value}});
+        append({.statements_ = record.statements_,
+                .key_ = history::recorded_key(record),
+                .results_ = {value, value}});
         values_[name] = value;
         record.outcome_ = what == step::lost_answer ? base::outcome::unknown : base::outcome::done;
         record.results_ =
--- a/tests/history/test_checker.cpp
+++ b/tests/history/test_checker.cpp
@@ -194,6 +194,29 @@
     EXPECT_EQ(found.front().rule_, rule::logs_missing);
 }
 
+// Guards against a key that is looked for in another form than the daemons give it to the databases.
+TEST(checker, knows_the_form_of_recorded_keys) {
+    const history::request_record keyed{
+        history::request_record_fields{.tenant_ = "zagreb", .key_ = "warm-up"}};
+    EXPECT_EQ(history::recorded_key(keyed), "6:zagrebwarm-up");
+    EXPECT_EQ(history::recorded_key(history::request_record{}), "");
+}
+
+// Guards against a key of one tenant that is taken for the same key of another.
+TEST(checker, keeps_the_keys_of_tenants_apart) {
+    recorded::run generated;
+    generated.perform(step::keyed_write, 1, 1);
+    const auto number = generated.records_.size();
+    generated.perform(step::keyed_write, 1, 1);
+    generated.records_[number] = generated.records_[number].with([&generated](auto& fields) {
+        fields.tenant_ = "split";
+        fields.key_ = generated.records_.front()->key_;
+    });
+    const auto key = history::recorded_key(generated.records_[number]);
+    change_last_entry(generated, [&key](auto& fields) { fields.key_ = key; });
+    EXPECT_TRUE(generated.check().empty());
+}
+
 // Guards against losing a field between the load tool and the checker.
 RC_GTEST_PROP(history_codec, returns_the_record_it_wrote, ()) {
     const auto generated = generate_run();
--- a/utilities/history/request_record.hpp
+++ b/utilities/history/request_record.hpp
@@ -25,6 +25,7 @@
     std::int64_t answered_us_ = 0;
     std::string work_;
     std::string service_;
+    std::string tenant_;
     base::access access_ = base::access::read;
     std::vector<std::string> statements_;
     /// The idempotency key; empty for none.
@@ -42,4 +43,9 @@
 
 using request_record = base::immutable<request_record_fields>;
 
+/// Returns the key under which the databases record the outcome of a request; empty for a request without an
+/// idempotency key. Keys of two tenants are two keys, so it starts with the length and the name of the
+/// tenant.
+[[nodiscard]] std::string recorded_key(const request_record& record);
+
 } // namespace history
--- a/utilities/history/service_history.cpp
+++ b/utilities/history/service_history.cpp
@@ -72,7 +72,7 @@
     if (!is_write(record)) {
         return;
     }
-    const auto name = identify(record->key_, record->statements_);
+    const auto name = identify(recorded_key(record), record->statements_);
     if (name != identity{}) {
         submissions_[name].push_back(&record);
     }
@@ -102,7 +102,7 @@
 
 const service_history::entry_numbers& service_history::entries_of(const request_record& record) const {
     static const entry_numbers none;
-    const auto found = entries_.find(identify(record->key_, record->statements_));
+    const auto found = entries_.find(identify(recorded_key(record), record->statements_));
     return found == entries_.end() ? none : found->second;
 }
 
@@ -121,7 +121,7 @@
 }
 
 void service_history::check_lost(const request_record& record) {
-    const bool is_identified = identify(record->key_, record->statements_) != identity{};
+    const bool is_identified = identify(recorded_key(record), record->statements_) != identity{};
     if (is_write(record) && is_done(record) && is_identified && entries_of(record).empty()) {
         report(rule::acknowledged_write_lost, describe(record) + " has no entry");
     }
@@ -173,7 +173,7 @@
         owners.insert(by_key->second.front());
     }
     for (const auto* owner : owners) {
-        if ((*owner)->statements_ != entry->statements_ || (*owner)->key_ != entry->key_) {
+        if ((*owner)->statements_ != entry->statements_ || recorded_key(*owner) != entry->key_) {
             report(rule::statements_mixed,
                    describe_entry(number) + " differs from the request of " + describe(*owner));
         }
