Load: Keep the io_context until the sockets are gone

Idle connections outlived the io_context that they were made for, which corrupted the heap at the end of a run. The table names the kinds of errors.

Ran: meta/measure-ranks with SECONDS_EACH=3 LOADS=2, without an abort.

--- a/utilities/sassafras_load/load_thread.cpp
+++ b/utilities/sassafras_load/load_thread.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -47,9 +46,8 @@
       connections_{plan_->daemons_}, next_daemon_{number}, results_(plan_->profile_->work_.size()) {}
 
 void load_thread::run() {
-    asio::io_context context{1};
-    asio::co_spawn(context, follow_schedule(), asio::detached);
-    context.run();
+    asio::co_spawn(context_, follow_schedule(), asio::detached);
+    context_.run();
 }
 
 const work_class& load_thread::work_of(arrival due) const {
@@ -108,7 +106,10 @@
     }
     results_[due.work_].count_repeat();
     auto repeated = co_await submit(request, due);
-    co_return repeated->token_.empty() ? answer : repeated;
+    if (repeated->token_.empty()) {
+        co_return answer;
+    }
+    co_return repeated;
 }
 
 asio::awaitable<caller_answer> load_thread::submit(submission request, arrival due) {
--- a/utilities/sassafras_load/load_thread.hpp
+++ b/utilities/sassafras_load/load_thread.hpp
@@ -9,6 +9,7 @@
 #include <utilities/sassafras_load/work_result.hpp>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include <cstddef>
 #include <vector>
@@ -42,6 +43,8 @@
     [[nodiscard]] const work_class& work_of(arrival due) const;
     [[nodiscard]] std::chrono::microseconds since_start(steady_time moment) const;
 
+    /// Stands before the connections, whose sockets refer to it until they are destroyed.
+    boost::asio::io_context context_{1};
     load_plan plan_;
     arrival_schedule schedule_;
     submission_maker maker_;
--- a/utilities/sassafras_load/report.cpp
+++ b/utilities/sassafras_load/report.cpp
@@ -23,6 +23,15 @@
                                     static_cast<double>(result.done());
 }
 
+// Returns `kind=count,...`, or `-` without errors.
+std::string list_errors(const work_result& result) {
+    std::string text;
+    for (const auto& [kind, count] : result.errors()) {
+        text += fmt::format("{}{}={}", text.empty() ? "" : ",", kind, count);
+    }
+    return text.empty() ? "-" : text;
+}
+
 json::object encode_errors(const work_result& result) {
     json::object object;
     for (const auto& [kind, count] : result.errors()) {
@@ -53,17 +62,18 @@
 } // namespace
 
 std::string render_table(const profile& offered, const std::vector<work_result>& results) {
-    auto table = fmt::format("{:<26}{:<22}{:>9}{:>8}{:>9}{:>9}{:>9}{:>10}{:>10}{:>10}{:>10}{:>10}\n", "work",
-                             "rank", "offered", "unsent", "done", "not_run", "unknown", "done/s", "p50 ms",
-                             "p99 ms", "max ms", "replica %");
+    auto table = fmt::format("{:<26}{:<22}{:>9}{:>8}{:>9}{:>9}{:>9}{:>10}{:>10}{:>10}{:>10}{:>10}  {}\n",
+                             "work", "rank", "offered", "unsent", "done", "not_run", "unknown", "done/s",
+                             "p50 ms", "p99 ms", "max ms", "replica %", "errors");
     for (std::size_t index = 0; index < results.size(); ++index) {
         const auto& work = offered->work_[index];
         const auto& result = results[index];
         table += fmt::format(
-            "{:<26}{:<22}{:>9}{:>8}{:>9}{:>9}{:>9}{:>10.1f}{:>10.1f}{:>10.1f}{:>10.1f}{:>10.1f}\n",
+            "{:<26}{:<22}{:>9}{:>8}{:>9}{:>9}{:>9}{:>10.1f}{:>10.1f}{:>10.1f}{:>10.1f}{:>10.1f}  {}\n",
             work->name_, work->rank_, result.offered(), result.unsent(), result.done(), result.not_run(),
             result.unknown(), per_second(result.done(), offered), result.latency_ms(median),
-            result.latency_ms(quantile_99), result.latency_ms(1), replica_percent(result));
+            result.latency_ms(quantile_99), result.latency_ms(1), replica_percent(result),
+            list_errors(result));
     }
     return table;
 }
