Daemons: Try several seeds in the first periods after the start

Daemons that started together could each meet one other first and form islands, which found each other only at the next attempt to heal, 10 s later. A daemon now tries up to five seeds in each of its first four periods.

--- a/libraries/daemons/membership.cpp
+++ b/libraries/daemons/membership.cpp
@@ -35,6 +35,7 @@
         if (now_ >= state_.next_period_) {
             judge_probe();
             start_probe();
+            join_seeds();
             state_.next_period_ = std::max(state_.next_period_ + state_.settings_.period_, now_);
         }
         if (now_ >= state_.next_exchange_) {
@@ -383,6 +384,19 @@
         }
     }
 
+    void join_seeds() {
+        const auto& seeds = state_.settings_.seeds_;
+        if (seeds.empty() || state_.joining_periods_over_ >= state_.settings_.joining_periods_) {
+            return;
+        }
+        ++state_.joining_periods_over_;
+        const auto first = draw(seeds.size());
+        for (std::size_t index = 0; index < std::min(state_.settings_.joining_seeds_, seeds.size());
+             ++index) {
+            ping_address(seeds[(first + index) % seeds.size()]);
+        }
+    }
+
     // One datagram from each daemon each time: two healed sides find each other within a few rounds, and the
     // contacts stay spread over time.
     void try_seed_or_dead() {
--- a/libraries/daemons/membership.hpp
+++ b/libraries/daemons/membership.hpp
@@ -39,6 +39,11 @@
     base::clock::duration exchange_{2'000};
     /// How often a seed or a dead member is tried, so that the two sides of a partition find each other.
     base::clock::duration heal_{10'000};
+    /// Daemons that start together may each meet one other first. In its first periods a daemon tries this
+    /// many seeds in each, so that such islands, which choose different homes, do not last until the next
+    /// `heal_`.
+    std::size_t joining_seeds_ = 5;
+    std::uint32_t joining_periods_ = 4;
     /// How long the dead are remembered: twice the longest partition that is expected.
     base::clock::duration dead_kept_{2 * 3600 * 1000};
     /// Peer addresses of some other members.
@@ -102,6 +107,7 @@
     base::clock::time_point next_period_{};
     base::clock::time_point next_exchange_{};
     base::clock::time_point next_heal_{};
+    std::uint32_t joining_periods_over_ = 0;
     /// Grows with each change that a reader of the member list has to see.
     std::uint64_t list_version_ = 0;
 
--- a/tests/daemons/test_membership.cpp
+++ b/tests/daemons/test_membership.cpp
@@ -28,8 +28,14 @@
     explicit fleet(std::uint64_t seed) : random_{seed} {}
 
     void add(const std::string& name, std::uint16_t port, std::uint16_t seed_port) {
+        add(name, port, std::vector<std::uint16_t>{seed_port});
+    }
+
+    void add(const std::string& name, std::uint16_t port, const std::vector<std::uint16_t>& seed_ports) {
         membership_settings settings;
-        settings.seeds_ = {{"127.0.0.1", seed_port}};
+        for (const auto seed_port : seed_ports) {
+            settings.seeds_.push_back({"127.0.0.1", seed_port});
+        }
         const member self{member_fields{name, {"127.0.0.1", port}, "zagreb", "rack 1"}};
         states_.insert_or_assign(port, start_membership(self, settings, now_));
     }
@@ -183,6 +189,23 @@
     }
 }
 
+// Guards against daemons that start together and stay apart until the next attempt to heal: each island
+// chooses a home of its own, and both homes together open more connections than the databases accept.
+TEST(membership, islands_of_the_start_find_each_other_within_three_seconds) {
+    const std::vector<std::uint16_t> all{port_at(0), port_at(1), port_at(2), port_at(3)};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fleet members{seed};
+        for (int number = 0; number < 4; ++number) {
+            members.add(name_at(number), port_at(number), all);
+        }
+        members.cut([](auto from, auto to) { return from % 2 != to % 2; });
+        members.run(clock::duration{700});
+        members.cut([](auto, auto) { return false; });
+        members.run(clock::duration{2'300});
+        EXPECT_TRUE(members.all_see_all_live()) << seed;
+    }
+}
+
 // Guards against a leaving member that gets work again because of late or repeated news.
 TEST(membership, a_leaving_member_is_never_live_again_under_the_same_incarnation) {
     EXPECT_TRUE(rc::check("leaving is final for its incarnation", [] {
