--- a/stand_ins/database/main.cpp
+++ b/stand_ins/database/main.cpp
@@ -16,7 +16,7 @@
 
 DEFINE_string(name, "", "name of this database in its group");
 DEFINE_string(group, "", "name of the database group");
-DEFINE_string(listen, "127.0.0.1:39500", "address:port of the database interface and the control paths");
+DEFINE_string(listen, "127.0.0.1:19500", "address:port of the database interface and the control paths");
 DEFINE_string(peers, "",
               "databases of the group: name=address:port,...; an entry with this name is left out");
 DEFINE_uint64(slots, 2, "requests that run statements at a time");
--- a/stand_ins/platform/main.cpp
+++ b/stand_ins/platform/main.cpp
@@ -11,7 +11,7 @@
 #include <memory>
 #include <sstream>
 
-DEFINE_string(listen, "127.0.0.1:39510", "address:port of the platform interface and the control paths");
+DEFINE_string(listen, "127.0.0.1:19510", "address:port of the platform interface and the control paths");
 DEFINE_uint64(reads_per_second, 2000, "reads a second; a waiting watch counts as one read a second");
 DEFINE_uint64(writes_per_second, 400, "writes a second");
 DEFINE_string(hosts, "", "host list at the start: address:port,...");
--- a/tests/daemons/test_codec.cpp
+++ b/tests/daemons/test_codec.cpp
@@ -63,7 +63,7 @@
 }
 
 member sample_member(const std::string& name) {
-    return member_fields{name, {"127.0.0.1", 39'300}, "zagreb", "rack 1", 5, member_state::leaving, 12};
+    return member_fields{name, {"127.0.0.1", 19'300}, "zagreb", "rack 1", 5, member_state::leaving, 12};
 }
 
 datagram sample_datagram() {
--- a/tests/daemons/test_peers.cpp
+++ b/tests/daemons/test_peers.cpp
@@ -27,7 +27,7 @@
 namespace asio = boost::asio;
 
 constexpr clock::duration time_limit{5'000};
-const base::endpoint local{"127.0.0.1", 39'301};
+const base::endpoint local{"127.0.0.1", 19'301};
 
 base::request make_request(std::uint64_t id, const std::string& statement) {
     return base::request_fields{.id_ = id, .service_ = "ledger", .statements_ = {statement}};
@@ -425,7 +425,7 @@
     };
     std::map<std::uint16_t, std::shared_ptr<direct_spread>> spreads;
     std::vector<std::shared_ptr<udp_membership>> members;
-    for (std::uint16_t port = 39'310; port < 39'314; ++port) {
+    for (std::uint16_t port = 19'310; port < 19'314; ++port) {
         auto spread = std::make_shared<direct_spread>(context.get_executor(), fetcher, text_codec{});
         spreads[port] = spread;
         fetcher.offers_[port] = [spread](const configuration_fetch& fetch) {
@@ -436,17 +436,17 @@
         const base::endpoint address{"127.0.0.1", port};
         const member self{member_fields{std::to_string(port), address, "zagreb", "rack"}};
         membership_settings settings;
-        settings.seeds_ = {{"127.0.0.1", 39'310}};
+        settings.seeds_ = {{"127.0.0.1", 19'310}};
         auto transport = udp_transport::open(context.get_executor(), address);
         ASSERT_TRUE(transport);
         members.push_back(std::make_shared<udp_membership>(
             context.get_executor(), self, settings, std::move(*transport), std::mt19937_64{port}, *spread));
         members.back()->start();
     }
-    auto& first = *spreads.at(39'310);
+    auto& first = *spreads.at(19'310);
     EXPECT_TRUE(first.take_from_store(make_configuration(8)));
     EXPECT_FALSE(first.take_from_store(make_configuration(7)));
-    spreads.at(39'312)->hear({{"127.0.0.1", 1}, 900});
+    spreads.at(19'312)->hear({{"127.0.0.1", 1}, 900});
     const auto settled = [&] {
         return std::ranges::all_of(members,
                                    [](const auto& one) {
@@ -466,7 +466,7 @@
     members.back()->leave();
     const auto left = [&] {
         return members.front()->members().read([](const member_list& list) {
-            const auto* found = list.find("39313");
+            const auto* found = list.find("19313");
             return found != nullptr && (*found)->state_ == member_state::leaving;
         });
     };
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -15,7 +15,7 @@
 namespace asio = boost::asio;
 
 constexpr base::clock::duration time_limit{5'000};
-const base::endpoint local{"127.0.0.1", 39'101};
+const base::endpoint local{"127.0.0.1", 19'101};
 
 struct echo_handler {
     asio::awaitable<http::response> operator()(http::request message, std::size_t /*connection*/) {
--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 seen_requests run_against_fake_platform(std::deque<scripted_answer> script, const client_calls& calls) {
-    const base::endpoint local{"127.0.0.1", 39'530};
+    const base::endpoint local{"127.0.0.1", 19'530};
     asio::io_context context;
     auto socket = http::listener::open(context.get_executor(), local);
     EXPECT_TRUE(socket);
--- a/tests/platform/test_store_client.cpp
+++ b/tests/platform/test_store_client.cpp
@@ -125,7 +125,7 @@
 // repeat.
 TEST(store_client, put_to_an_unreachable_store_was_not_applied) {
     asio::io_context context;
-    const base::endpoint nobody{"127.0.0.1", 39'539};
+    const base::endpoint nobody{"127.0.0.1", 19'539};
     store_client client{nobody, base::clock::duration{2'000}, 1, {}};
     bool finished = false;
     asio::co_spawn(context, tests::expect_put_error(client, "unsent", base::error_kind::platform_unavailable),
--- a/tests/stand_ins/test_database_server.cpp
+++ b/tests/stand_ins/test_database_server.cpp
@@ -26,7 +26,7 @@
 
 // Holds a conversation with a primary that allows two connections.
 void talk_to_database(std::vector<tests::conversation_step> steps) {
-    const base::endpoint local{"127.0.0.1", 39'520};
+    const base::endpoint local{"127.0.0.1", 19'520};
     auto opened = database_node::open({.name_ = "a", .connections_ = 2}, {});
     ASSERT_TRUE(opened);
     auto node = std::make_shared<database_node>(std::move(*opened));
--- a/tests/stand_ins/test_platform_server.cpp
+++ b/tests/stand_ins/test_platform_server.cpp
@@ -16,7 +16,7 @@
 namespace asio = boost::asio;
 using platform::store_client;
 
-const base::endpoint local{"127.0.0.1", 39'521};
+const base::endpoint local{"127.0.0.1", 19'521};
 
 // Named, because g++ 12 has faults with braced temporaries inside co_await expressions.
 const platform::stored_value value_one{true, "one", 1};
