--- a/libraries/proxy/worker.hpp
+++ b/libraries/proxy/worker.hpp
@@ -213,8 +213,10 @@
 
     boost::asio::awaitable<void> keep_homes() {
         while (!stopping_) {
-            home_table_.update(state_.members().get());
-            open_own_homes();
+            // One list for both, or a list that arrives in between would count as examined.
+            const auto members = state_.members().get();
+            home_table_.update(members);
+            open_own_homes(members);
             close_foreign_homes();
             stop_retired_homes();
             co_await http::sleep_for(homes_period);
@@ -227,12 +229,11 @@
 
     // A home watches its group also while nobody asks, so that a failed primary is replaced before the next
     // request comes.
-    void open_own_homes() {
+    void open_own_homes(const std::shared_ptr<const daemons::member_list>& members) {
         if (state_.phase() != daemon_phase::serving) {
             return;
         }
         const auto configuration = state_.configuration().get();
-        const auto members = state_.members().get();
         // A pass over 12,000 services five times a second would exceed the budget for control.
         if (configuration == examined_configuration_ && members == examined_members_) {
             return;
--- a/tests/daemons/test_home_table.cpp
+++ b/tests/daemons/test_home_table.cpp
@@ -70,6 +70,7 @@
 TEST(home_table, chooses_anew_only_for_the_groups_of_the_member_that_went) {
     constexpr int groups = 500;
     std::vector<member> members;
+    members.reserve(50);
     for (int number = 0; number < 50; ++number) {
         members.push_back(make_member(number, 1, 5, member_state::live));
     }
--- a/utilities/sassafras_slopes/table.cpp
+++ b/utilities/sassafras_slopes/table.cpp
@@ -33,6 +33,7 @@
                double target) {
     const auto line = fit(samples);
     std::vector<sample> logarithmic;
+    logarithmic.reserve(samples.size());
     for (const auto& each : samples) {
         logarithmic.push_back({std::log2(each.size_ + 1), each.value_});
     }
