--- a/libraries/proxy/group_home.hpp
+++ b/libraries/proxy/group_home.hpp
@@ -199,7 +199,7 @@
 
     private:
         std::list<running_statement>& all_;
-        std::list<running_statement>::iterator place_;
+        typename std::list<running_statement>::iterator place_;
     };
 
     /// A transaction between two of its requests.
@@ -435,7 +435,7 @@
         }
         leased->give_back();
         admission.ticket_->release();
-        const auto settled = *answer;
+        const auto& settled = *answer;
         if (settled->refusal_) {
             note_refusal(*settled->refusal_);
             if (*settled->refusal_ == backends::refusal::key_conflict) {
