Proxy: Test that a stop leaves a connection alone that was given back

Cause: the fix of the settle's registration had a test that passed without it, because another request had taken the connection by then.

Change: the fake connections know whether they still exist, and a test of its own stops a home with a settle at the gate.

--- a/tests/proxy/fake_group.cpp
+++ b/tests/proxy/fake_group.cpp
@@ -1,5 +1,7 @@
 #include "fake_group.hpp"
 
+#include <gtest/gtest.h>
+
 #include <algorithm>
 
 namespace fakes {
@@ -96,6 +98,10 @@
           state{.owner_ = &owner, .target_ = &target, .number_ = ++owner.last_connection_})} {}
 
 void connection::close() {
+    if (!lifetime::exists(&lifetime_)) {
+        ADD_FAILURE() << "a connection is closed that no longer exists";
+        return;
+    }
     state_->is_open_ = false;
     state_->open_transaction_.reset();
     state_->owner_->closed_.insert(state_->number_);
--- a/tests/proxy/fake_group.hpp
+++ b/tests/proxy/fake_group.hpp
@@ -87,6 +87,25 @@
     int settles_ = 0;
 };
 
+/// Knows which objects exist, so that a use after the end is seen without reading freed memory.
+class lifetime {
+public:
+    lifetime() { existing().insert(this); }
+    lifetime(lifetime&& /*other*/) noexcept { existing().insert(this); }
+    lifetime& operator=(lifetime&& /*other*/) noexcept { return *this; }
+    lifetime(const lifetime&) = delete;
+    lifetime& operator=(const lifetime&) = delete;
+    ~lifetime() { existing().erase(this); }
+
+    [[nodiscard]] static bool exists(const lifetime* object) { return existing().contains(object); }
+
+private:
+    static std::set<const lifetime*>& existing() {
+        static std::set<const lifetime*> objects;
+        return objects;
+    }
+};
+
 /// A connection to one database of the group.
 class connection {
 public:
@@ -122,6 +141,7 @@
     static backends::execute_answer write(state& self, const backends::execute_request& request,
                                           const std::vector<std::string>& statements);
 
+    lifetime lifetime_;
     std::shared_ptr<state> state_;
 };
 
--- a/tests/proxy/test_group_home.cpp
+++ b/tests/proxy/test_group_home.cpp
@@ -362,8 +362,7 @@
 }
 
 // Guards against a home that is being closed and leaves its callers waiting until their deadlines: in the
-// queue, at a database, at the gate or between two attempts. Guards also against a settle at the gate whose
-// connection, given back and freed meanwhile, is closed once more.
+// queue, at a database, at the gate or between two attempts.
 TEST(group_home, stop_ends_every_waiting_request) {
     running_home running{1};
     running.run([&]() -> asio::awaitable<void> {
@@ -401,3 +400,22 @@
         EXPECT_EQ(running.primary().count_statement("at the database"), 0);
     });
 }
+
+// Guards against a settle at the gate whose connection, given back and freed meanwhile, is closed once more.
+TEST(group_home, stop_leaves_alone_a_connection_that_was_given_back) {
+    running_home running;
+    running.run([&]() -> asio::awaitable<void> {
+        const auto warm = co_await running.ask(read_request());
+        EXPECT_EQ(warm->outcome_, outcome::done);
+        cut_replication(running);
+        std::optional<base::answer> answered;
+        running.spawn([&]() -> asio::awaitable<void> {
+            answered = co_await running.ask(question("k", fakes::patience));
+        });
+        co_await running.wait_until([&] { return running.primary().log_.back().cancels_; });
+        co_await http::sleep_for(clock::duration{50});
+        running.home_->stop();
+        co_await running.wait_until([&] { return answered.has_value(); });
+        EXPECT_EQ((*answered)->outcome_, outcome::unknown);
+    });
+}
