--- a/utilities/sassafras_load/main.cpp
+++ b/utilities/sassafras_load/main.cpp
@@ -16,7 +16,8 @@
 DEFINE_string(profile, "", "INI file that describes the load (required)");
 DEFINE_string(daemons, "", "callers' addresses of daemons: address:port,... (required)");
 DEFINE_string(result, "", "file for the result as JSON");
-DEFINE_string(history, "", "file for every request and answer, one JSON object a line");
+DEFINE_string(history, "",
+              "file for every request and answer, one JSON object a line, written at the end of the run");
 DEFINE_double(scale, 1, "factor for all rates");
 DEFINE_string(work_scale, "", "factors for single work classes: NAME=FACTOR,...");
 DEFINE_uint64(seconds, 0, "length of the run instead of the profile's; 0 keeps it");
