Http: Answer what has arrived before a drain closes connections

Drain now has two steps: answers carry Connection: close while the leaving is announced, then the backlog is taken over and only connections without unread bytes are closed. The new test covers an idle connection with an unread request and one in the backlog. A database's refusal write_conflict is now known to the daemon; it was taken for an unreadable answer before.

--- a/libraries/backends/database_codec.cpp
+++ b/libraries/backends/database_codec.cpp
@@ -23,6 +23,7 @@
     std::pair{refusal::leaving, std::string_view{"leaving"}},
     std::pair{refusal::bad_statement, std::string_view{"bad_statement"}},
     std::pair{refusal::no_transaction, std::string_view{"no_transaction"}},
+    std::pair{refusal::write_conflict, std::string_view{"write_conflict"}},
 };
 
 json::object to_json(base::log_position position) {
--- a/libraries/backends/outcome_decision.cpp
+++ b/libraries/backends/outcome_decision.cpp
@@ -24,6 +24,7 @@
     case refusal::bad_statement:
         return error_kind::statement_invalid;
     case refusal::no_transaction:
+    case refusal::write_conflict:
         return error_kind::transaction_aborted;
     }
     return error_kind::internal;
--- a/libraries/backends/outcome_decision.hpp
+++ b/libraries/backends/outcome_decision.hpp
@@ -21,6 +21,8 @@
     leaving,
     bad_statement,
     no_transaction,
+    /// Another transaction has changed what this one read; it was rolled back.
+    write_conflict,
 };
 
 /// How an attempt to serve a request ended.
--- a/libraries/http/listener.cpp
+++ b/libraries/http/listener.cpp
@@ -59,6 +59,21 @@
     co_return std::move(socket);
 }
 
+std::optional<asio::ip::tcp::socket> listener::accept_waiting() {
+    boost::system::error_code failure;
+    if (!acceptor_.is_open()) {
+        return std::nullopt;
+    }
+    acceptor_.non_blocking(true, failure);
+    asio::ip::tcp::socket socket{acceptor_.get_executor()};
+    acceptor_.accept(socket, failure);
+    if (failure) {
+        return std::nullopt;
+    }
+    socket.set_option(asio::ip::tcp::no_delay{true}, failure);
+    return socket;
+}
+
 void listener::close() noexcept {
     boost::system::error_code ignored;
     acceptor_.close(ignored);
--- a/libraries/http/listener.hpp
+++ b/libraries/http/listener.hpp
@@ -7,6 +7,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <optional>
+
 namespace http {
 
 /// A listening TCP socket with SO_REUSEPORT, so that each thread can have its own on the same port.
@@ -21,6 +23,9 @@
     /// Errors: `connection_failed`, also after `close`.
     [[nodiscard]] boost::asio::awaitable<base::result<boost::asio::ip::tcp::socket>> accept();
 
+    /// Returns a connection that waits already, or nothing. Does not wait.
+    [[nodiscard]] std::optional<boost::asio::ip::tcp::socket> accept_waiting();
+
     /// Stops listening, which ends a pending `accept`.
     void close() noexcept;
 
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -47,13 +47,25 @@
         boost::asio::co_spawn(executor_, accept_connections(this->shared_from_this()), boost::asio::detached);
     }
 
-    /// Stops accepting and closes every connection that is not answering a request.
-    void drain() {
+    /// Announces the end: every answer from now on closes its connection, new connections are still served.
+    void announce_drain() {
         draining_ = true;
-        listener_.close();
         for (auto& one : connections_) {
             one.connection_.close_after_next();
-            if (!one.busy_) {
+        }
+    }
+
+    /// Stops accepting and closes every connection on which no request is being answered or has arrived.
+    /// Connections that wait in the listener's backlog are taken over first, because closing it would cut off
+    /// their requests.
+    void drain() {
+        announce_drain();
+        while (auto waiting = listener_.accept_waiting()) {
+            take(std::move(*waiting));
+        }
+        listener_.close();
+        for (auto& one : connections_) {
+            if (!one.busy_ && one.served_before_ && !one.connection_.has_unread_bytes()) {
                 one.connection_.close();
             }
         }
@@ -86,9 +98,22 @@
         server_connection connection_;
         std::size_t number_ = 0;
         bool busy_ = false;
+        /// Whether a request was answered on it. One that has just connected is about to send its first.
+        bool served_before_ = false;
     };
     using connection_list = std::list<served_connection>;
 
+    void take(boost::asio::ip::tcp::socket socket) {
+        if (connections_.size() >= most_connections_) {
+            return;
+        }
+        server_connection connection{std::move(socket), limits_, tls_};
+        connections_.push_back({std::move(connection), ++last_number_});
+        const auto position = std::prev(connections_.end());
+        boost::asio::co_spawn(executor_, serve_connection(this->shared_from_this(), position),
+                              boost::asio::detached);
+    }
+
     static boost::asio::awaitable<void> accept_connections(std::shared_ptr<server> self) {
         while (self->listener_.is_open()) {
             auto accepted = co_await self->listener_.accept();
@@ -97,13 +122,7 @@
                 co_await sleep_for(accept_retry_pause);
                 continue;
             }
-            if (self->draining_ || self->connections_.size() >= self->most_connections_) {
-                continue;
-            }
-            server_connection connection{std::move(*accepted), self->limits_, self->tls_};
-            self->connections_.push_back({std::move(connection), ++self->last_number_, false});
-            const auto position = std::prev(self->connections_.end());
-            boost::asio::co_spawn(self->executor_, serve_connection(self, position), boost::asio::detached);
+            self->take(std::move(*accepted));
         }
     }
 
@@ -141,6 +160,7 @@
             }
             open = co_await served.connection_.write(std::move(answer));
             served.busy_ = false;
+            served.served_before_ = true;
         }
         served.connection_.close();
     }
--- a/libraries/http/server_connection.cpp
+++ b/libraries/http/server_connection.cpp
@@ -143,6 +143,11 @@
     co_return !failure && self.keep_alive_;
 }
 
+bool server_connection::has_unread_bytes() const noexcept {
+    boost::system::error_code ignored;
+    return implementation_->buffer_.size() > 0 || implementation_->stream_.socket().available(ignored) > 0;
+}
+
 void server_connection::close() noexcept {
     implementation_->stream_.close();
 }
--- a/libraries/http/server_connection.hpp
+++ b/libraries/http/server_connection.hpp
@@ -35,6 +35,9 @@
     /// Writes a response. Returns whether the connection may carry another request.
     [[nodiscard]] boost::asio::awaitable<bool> write(response answer);
 
+    /// Returns whether bytes have arrived that `read` has not returned yet.
+    [[nodiscard]] bool has_unread_bytes() const noexcept;
+
     /// Closes the socket, which ends any pending `read` or `write`.
     void close() noexcept;
 
--- a/libraries/proxy/daemon.hpp
+++ b/libraries/proxy/daemon.hpp
@@ -153,12 +153,13 @@
         base::log_event(events::drain_started, {{"name", state_.settings()->name_}});
         control_->leave();
         for (auto& one : workers_) {
-            boost::asio::post(one->context(), [&one] { one->drain_callers(); });
+            boost::asio::post(one->context(), [&one] { one->announce_drain(); });
         }
-        // Other daemons forward here until they have heard that this one leaves.
+        // Other daemons forward here until they have heard that this one leaves, and the balancer sends
+        // callers until /readyz has told it. Whoever comes meanwhile is served and told to connect elsewhere.
         co_await wait_for_work(std::min(deadline, base::clock::now() + announcement_time), work_wanted::any);
         for (auto& one : workers_) {
-            boost::asio::post(one->context(), [&one] { one->drain_peers(); });
+            boost::asio::post(one->context(), [&one] { one->drain(); });
         }
         const auto unfinished = co_await wait_for_work(deadline, work_wanted::none);
         finished_ = unfinished == 0;
--- a/libraries/proxy/worker.hpp
+++ b/libraries/proxy/worker.hpp
@@ -100,9 +100,13 @@
                                                  boost::asio::use_awaitable);
     }
 
-    /// Stops taking callers and tells other daemons to ask elsewhere.
-    void drain_callers() { caller_server_->drain(); }
-    void drain_peers() { peer_server_->drain(); }
+    /// Tells callers with each answer to connect elsewhere.
+    void announce_drain() { caller_server_->announce_drain(); }
+    /// Stops taking callers, and tells other daemons to ask elsewhere.
+    void drain() {
+        caller_server_->drain();
+        peer_server_->drain();
+    }
 
     /// Returns how much unfinished work there is: answers to callers and peers, and open transactions.
     [[nodiscard]] std::size_t unfinished_work() const {
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 #include <memory>
 #include <string>
@@ -116,3 +119,37 @@
         EXPECT_FALSE(refused);
     });
 }
+
+// Guards against a drain that cuts off a request which has arrived on an idle connection but was not read
+// yet, or one whose connection still waits in the backlog.
+TEST(http, drain_answers_requests_that_have_arrived_on_idle_and_new_connections) {
+    run_with_echo_server({}, [](echo_server& running) -> asio::awaitable<void> {
+        const auto executor = co_await asio::this_coro::executor;
+        auto kept = co_await http::client_connection::connect(local, time_limit);
+        auto first = http::json_post("/echo", "first");
+        const auto warm = co_await kept->exchange(first, time_limit);
+        EXPECT_TRUE(warm);
+        int answered = 0;
+        asio::co_spawn(
+            executor,
+            [&]() -> asio::awaitable<void> {
+                auto message = http::json_post("/slow", "kept");
+                const auto answer = co_await kept->exchange(message, time_limit);
+                answered += answer && (*answer)->body_ == "kept" ? 1 : 0;
+            },
+            asio::detached);
+        asio::ip::tcp::socket raw{executor};
+        raw.connect({asio::ip::make_address(local.address()), local.port()});
+        const std::string text = "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nnew";
+        asio::write(raw, asio::buffer(text));
+        // The request on the kept connection is written when this coroutine suspends; both have arrived,
+        // neither was read, when the drain comes.
+        asio::post(executor, [&running] { running.drain(); });
+        std::string received(4096, ' ');
+        const auto count = co_await raw.async_read_some(asio::buffer(received), asio::use_awaitable);
+        EXPECT_NE(received.substr(0, count).find("new"), std::string::npos);
+        EXPECT_NE(received.substr(0, count).find("Connection: close"), std::string::npos);
+        co_await http::sleep_for(base::clock::duration{400});
+        EXPECT_EQ(answered, 1);
+    });
+}
