Proxy: Keep a home over a changed declaration and give up silent connections

The monitor notices within 750 ms that an old connection is silent while a fresh one works; the home then gives up statements without an answer for that long, and idle connections of the same age.

--- a/libraries/backends/admission_queue.cpp
+++ b/libraries/backends/admission_queue.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstddef>
 #include <list>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -123,7 +124,8 @@
 
     std::unordered_map<std::uint64_t, std::unique_ptr<entry>> entries_;
     std::unordered_map<std::uint64_t, running_item> running_;
-    std::unordered_map<std::string, std::uint32_t> tenants_in_flight_;
+    /// By rank and tenant: a tenant's flood of one rank must not shut out its own work of another.
+    std::map<std::pair<std::size_t, std::string>, std::uint32_t> tenants_in_flight_;
     std::vector<entry_list> wheel_ = std::vector<entry_list>(wheel_size);
     std::optional<std::int64_t> wheel_tick_;
     std::vector<queue_refusal> expired_;
@@ -265,16 +267,16 @@
             .id_ = id, .reason_ = error{kind, std::move(message)}, .retry_after_ = retry_after};
     }
 
-    [[nodiscard]] std::optional<queue_refusal> check_tenant(const queue_item& item,
+    [[nodiscard]] std::optional<queue_refusal> check_tenant(const queue_item& item, std::size_t index,
                                                             clock::duration wait) const {
-        const auto in_flight = tenants_in_flight_.find(item->tenant_);
+        const auto in_flight = tenants_in_flight_.find({index, item->tenant_});
         const auto limit = limit_of(item->tenant_);
         if ((in_flight == tenants_in_flight_.end() ? 0 : in_flight->second) < limit) {
             return std::nullopt;
         }
         return refuse(item->id_, error_kind::overloaded,
                       "tenant " + item->tenant_ + " has its limit of " + std::to_string(limit) +
-                          " requests in flight",
+                          " requests of rank " + item->rank_ + " in flight",
                       clamp_retry_after(wait));
     }
 
@@ -352,7 +354,7 @@
         auto& bucket = wheel_[static_cast<std::size_t>(added.tick_ % wheel_size)];
         added.in_wheel_ = bucket.insert(bucket.end(), &added);
         rank.bytes_ += item->bytes_;
-        ++tenants_in_flight_[item->tenant_];
+        ++tenants_in_flight_[{index, item->tenant_}];
         entries_.emplace(item->id_, std::move(owned));
     }
 
@@ -373,8 +375,8 @@
         return std::move(node.mapped());
     }
 
-    void leave(const std::string& tenant) {
-        const auto found = tenants_in_flight_.find(tenant);
+    void leave(std::size_t rank, const std::string& tenant) {
+        const auto found = tenants_in_flight_.find({rank, tenant});
         if (--found->second == 0) {
             tenants_in_flight_.erase(found);
         }
@@ -382,7 +384,7 @@
 
     void give_up(entry& removed) {
         const auto owned = remove(removed);
-        leave(owned->item_->tenant_);
+        leave(owned->rank_, owned->item_->tenant_);
     }
 
     void expire_entry(entry& late) {
@@ -519,7 +521,7 @@
                        clock::duration{0});
     }
     const auto wait = state_->expected_wait(*index, state_->count_ahead(rank, item->tenant_));
-    if (auto over_limit = state_->check_tenant(item, wait)) {
+    if (auto over_limit = state_->check_tenant(item, *index, wait)) {
         return queue_offer_fields{.refused_ = std::move(over_limit), .displaced_ = {}};
     }
     // With nothing of the rank in the queue or running, one item is let through whatever the estimate says.
@@ -576,7 +578,7 @@
         --rank.running_unclaimed_;
     }
     state_->limit_credit(item.rank_);
-    state_->leave(item.tenant_);
+    state_->leave(item.rank_, item.tenant_);
     state_->running_.erase(found);
 }
 
--- a/libraries/backends/events.hpp
+++ b/libraries/backends/events.hpp
@@ -39,10 +39,23 @@
     311, "database_mismatch", severity::error,
     "The database at a declared address has another name and is not counted."};
 
+inline constexpr event_definition flow_lost{
+    312, "flow_lost", severity::warning,
+    "A connection to a database went silent while a fresh one works; older connections are given up."};
+
 /// Every definition above, for the test against docs/events.md.
-inline constexpr std::array all{&group_watch_started, &group_watch_stopped,  &primary_adopted,
-                                &takeover_started,    &takeover_won,         &takeover_failed,
-                                &takeover_withheld,   &database_unreachable, &database_reachable,
-                                &suspicion_checked,   &database_leaving,     &database_mismatch};
+inline constexpr std::array all{&group_watch_started,
+                                &group_watch_stopped,
+                                &primary_adopted,
+                                &takeover_started,
+                                &takeover_won,
+                                &takeover_failed,
+                                &takeover_withheld,
+                                &database_unreachable,
+                                &database_reachable,
+                                &suspicion_checked,
+                                &database_leaving,
+                                &database_mismatch,
+                                &flow_lost};
 
 } // namespace backends::events
--- a/libraries/backends/group_monitor.hpp
+++ b/libraries/backends/group_monitor.hpp
@@ -32,6 +32,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace backends {
@@ -194,6 +195,17 @@
         }
     }
 
+    /// Returns when a connection to a database was last found silent while a fresh one worked: whatever else
+    /// was open to it by then may be silent too. Empty when that never happened.
+    [[nodiscard]] std::optional<base::clock::time_point> flow_lost_at(std::string_view database) const {
+        for (const auto& candidate : watched_) {
+            if (candidate->declared_.name_ == database) {
+                return candidate->flow_lost_at_;
+            }
+        }
+        return std::nullopt;
+    }
+
     /// Returns what is known of the group. The reference is valid until the next suspension.
     [[nodiscard]] const group_view& view() const noexcept { return view_; }
 
@@ -239,6 +251,9 @@
         time_point not_before_{};
         /// The last freshness round whose question was sent to this database.
         std::uint64_t asked_round_ = 0;
+        /// When the control connection failed, until a fresh one has answered or failed too.
+        std::optional<time_point> failed_flow_at_;
+        std::optional<time_point> flow_lost_at_;
         boost::asio::steady_timer timer_;
     };
 
@@ -461,6 +476,11 @@
     }
 
     void take_answer(watched_database& database) {
+        if (database.failed_flow_at_) {
+            database.flow_lost_at_ = std::exchange(database.failed_flow_at_, std::nullopt);
+            base::log_event(events::flow_lost,
+                            {{"group", settings_.group_}, {"database", database.declared_.name_}});
+        }
         database.detector_ = database.detector_.with_answer(clock_.now());
         database.is_takeover_withheld_ = false;
         if (wanted_position(database)) {
@@ -475,8 +495,10 @@
         database.asked_round_ = 0;
         database.detector_ = database.detector_.with_suspicion();
         if (!was_fresh) {
+            database.failed_flow_at_ = clock_.now();
             co_return;
         }
+        database.failed_flow_at_.reset();
         database.detector_ = database.detector_.with_fresh_failure();
         const auto* known = view_.find(database.declared_.name_);
         if (known->reachability_ != reachability::unreachable) {
--- a/libraries/backends/pooled_connections.hpp
+++ b/libraries/backends/pooled_connections.hpp
@@ -20,6 +20,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -148,6 +149,14 @@
     /// connections that the database closed are dropped when their turn comes.
     void maintain() { state_->maintain(); }
 
+    /// Gives none of the connections that are open now out again unless they answer a request first: one of
+    /// them was found silent while a fresh one worked.
+    void distrust_existing() {
+        for (const auto& [id, open] : state_->connections_) {
+            state_->distrusted_.insert(id);
+        }
+    }
+
     /// Replaces the limits, for example when the declaration changed.
     void set_limits(connection_pool_limits limits) {
         state_->pool_.set_limits(limits);
@@ -223,6 +232,8 @@
         std::string name_;
         connection_pool pool_;
         std::unordered_map<std::uint64_t, Connection> connections_;
+        /// Connections that have to answer a request before they are given out again.
+        std::set<std::uint64_t> distrusted_;
         std::list<waiter*> waiting_;
         std::optional<base::error> last_failure_;
         boost::asio::steady_timer retry_;
@@ -262,7 +273,7 @@
         /// Takes an idle connection; drops those that the database has closed meanwhile.
         std::optional<std::uint64_t> take_usable(lease_use use) {
             while (const auto id = pool_.acquire(use)) {
-                if (connections_.at(*id).is_usable()) {
+                if (connections_.at(*id).is_usable() && !distrusted_.contains(*id)) {
                     return id;
                 }
                 static_cast<void>(pool_.release(*id, base::clock::now(), lease_end::discard));
@@ -275,10 +286,14 @@
             const auto found = connections_.find(id);
             found->second.close();
             connections_.erase(found);
+            distrusted_.erase(id);
         }
 
         void release(std::uint64_t id, lease_end end) {
             const auto last = is_closed_ ? lease_end::discard : end;
+            if (last == lease_end::reuse) {
+                distrusted_.erase(id);
+            }
             if (!pool_.release(id, base::clock::now(), last)) {
                 drop(id);
             }
--- a/libraries/operators/file_format.cpp
+++ b/libraries/operators/file_format.cpp
@@ -111,8 +111,9 @@
 };
 
 constexpr std::array tenant_keys{
-    key_description{"most_in_flight", value_type::number, necessity::optional, "1000", 1, 1'000'000,
-                    "Requests of the tenant that may be queued or running at the home at the same time."},
+    key_description{
+        "most_in_flight", value_type::number, necessity::optional, "1000", 1, 1'000'000,
+        "Requests of the tenant that may be queued or running at the home at the same time, for each rank."},
 };
 
 constexpr std::array declaration_sections{
--- a/libraries/operators/service_declaration.hpp
+++ b/libraries/operators/service_declaration.hpp
@@ -45,7 +45,7 @@
 /// The limit of one tenant; the name `default` stands for every tenant that has none of its own.
 struct tenant_limit {
     std::string name_;
-    /// Requests of the tenant that may be queued or running at the home at the same time.
+    /// Requests of the tenant that may be queued or running at the home at the same time, for each rank.
     std::uint32_t most_in_flight_ = 1'000;
 
     friend auto operator<=>(const tenant_limit&, const tenant_limit&) = default;
--- a/libraries/proxy/group_home.hpp
+++ b/libraries/proxy/group_home.hpp
@@ -111,6 +111,21 @@
 
     [[nodiscard]] const operators::service_declaration& declaration() const noexcept { return declaration_; }
 
+    /// Puts a changed declaration into force without a break: connections, view and open transactions stay,
+    /// and requests that wait keep their place in the old order until it has run empty. Precondition: the
+    /// databases are the same.
+    void redeclare(operators::service_declaration changed) {
+        declaration_ = std::move(changed);
+        for (auto& [name, connections] : pools_) {
+            connections->set_limits(backends::connection_pool::limits_of(declaration_));
+        }
+        retired_lanes_.push_back(
+            std::exchange(primary_lane_, std::make_shared<lane>(executor_, declaration_, clock_)));
+        retired_lanes_.push_back(
+            std::exchange(replica_lane_, std::make_shared<lane>(executor_, declaration_, clock_)));
+        update_lanes();
+    }
+
     /// Serves a request to its end. Precondition: `routed` is of this group.
     [[nodiscard]] boost::asio::awaitable<base::answer> execute(routed_request routed) {
         const auto self = this->shared_from_this();
@@ -172,6 +187,7 @@
         std::string database_;
         std::uint64_t term_ = 0;
         connection* connection_ = nullptr;
+        time_point started_at_{};
     };
 
     class in_flight_count {
@@ -716,7 +732,8 @@
                                                                         backends::statement_path path,
                                                                         backends::execute_request statements,
                                                                         time_point deadline) {
-        const running_registration registered{running_, {std::move(database), statements->term_, &*leased}};
+        const running_registration registered{
+            running_, {std::move(database), statements->term_, &*leased, clock_.now()}};
         co_return co_await leased->run(path, statements, time_until(deadline));
     }
 
@@ -724,7 +741,8 @@
     // request by the time the term changes.
     boost::asio::awaitable<base::result<backends::settle_answer>>
     send_settle(guard& leased, std::string database, backends::settle_request question, time_point deadline) {
-        const running_registration registered{running_, {std::move(database), question->term_, &*leased}};
+        const running_registration registered{running_,
+                                              {std::move(database), question->term_, &*leased, clock_.now()}};
         co_return co_await leased->settle(question, time_until(deadline));
     }
 
@@ -828,6 +846,7 @@
             self->update_lanes();
             self->note_primary_position();
             self->give_up_replaced();
+            self->give_up_silent();
             if (self->clock_.now() - maintained_at >= maintenance_period) {
                 maintained_at = self->clock_.now();
                 self->maintain();
@@ -872,6 +891,11 @@
             replicas += !is_primary && database.reachability_ == backends::reachability::reachable ? 1 : 0;
         }
         replica_lane_->set_slots(replicas * declaration_->slots_);
+        std::erase_if(retired_lanes_, [](const auto& retired) { return retired->is_idle(); });
+        for (const auto& retired : retired_lanes_) {
+            // The pools keep the sum of old and new within what each database takes.
+            retired->set_slots(primary ? declaration_->slots_ : 0);
+        }
     }
 
     // Keeps the history by which the age of a replica's data is judged. The time is the latest at which both
@@ -908,6 +932,29 @@
         }
     }
 
+    // A lost flow shows as silence: a statement that got no answer for as long as the control connection was
+    // given is not waited for up to its deadline, and idle connections of the same age are not used again.
+    void give_up_silent() {
+        for (const auto& [name, connections] : pools_) {
+            const auto lost_at = monitor_->flow_lost_at(name);
+            if (!lost_at) {
+                continue;
+            }
+            auto& handled = handled_losses_[name];
+            if (handled != *lost_at) {
+                handled = *lost_at;
+                connections->distrust_existing();
+            }
+            for (auto& statement : running_) {
+                const bool is_silent = statement.database_ == name && statement.started_at_ < *lost_at &&
+                                       clock_.now() - statement.started_at_ > backends::silence_limit;
+                if (is_silent) {
+                    statement.connection_->close();
+                }
+            }
+        }
+    }
+
     void maintain() {
         for (auto& [name, connections] : pools_) {
             connections->maintain();
@@ -944,7 +991,11 @@
     std::shared_ptr<monitor> monitor_;
     std::shared_ptr<lane> primary_lane_;
     std::shared_ptr<lane> replica_lane_;
+    /// Lanes of earlier declarations in which requests still wait or run.
+    std::vector<std::shared_ptr<lane>> retired_lanes_;
     std::map<std::string, std::unique_ptr<pool>> pools_;
+    /// The last lost flow of each database that was acted on.
+    std::map<std::string, time_point> handled_losses_;
     backends::retry_budget budget_;
     backends::staleness_estimate staleness_;
     std::map<std::uint64_t, open_transaction> transactions_;
--- a/libraries/proxy/worker.hpp
+++ b/libraries/proxy/worker.hpp
@@ -211,13 +211,18 @@
     }
 
     // Returns the home of a group, opened if necessary: a request that was sent here by a daemon with another
-    // list of members is served all the same. A changed declaration gets a new home; the old one finishes.
+    // list of members is served all the same. A home whose databases changed is replaced; the old one
+    // finishes.
     std::shared_ptr<home> open_home(const operators::service_declaration& declaration) {
         const auto& group = declaration->name_;
         const auto found = homes_.find(group);
         if (found != homes_.end() && found->second->declaration() == declaration) {
             return found->second;
         }
+        if (found != homes_.end() && found->second->declaration()->databases_ == declaration->databases_) {
+            found->second->redeclare(declaration);
+            return found->second;
+        }
         if (found != homes_.end()) {
             retired_.push_back(found->second);
             homes_.erase(found);
--- a/tests/backends/admission_queue_test.cpp
+++ b/tests/backends/admission_queue_test.cpp
@@ -199,6 +199,17 @@
     EXPECT_FALSE(queue.offer(item(5, "low"), at(1))->refused_);
 }
 
+// Guards against a tenant whose flood of the least urgent rank shuts out its own urgent work.
+TEST(admission_queue, tenant_limit_of_one_rank_leaves_the_others_open) {
+    const auto declaration = simulation::declare(2).with(
+        [](auto& fields) { fields.tenants_ = {{.name_ = "default", .most_in_flight_ = 2}}; });
+    admission_queue queue{declaration};
+    EXPECT_FALSE(queue.offer(item(1, "low"), at(0))->refused_);
+    EXPECT_FALSE(queue.offer(item(2, "low"), at(0))->refused_);
+    EXPECT_TRUE(queue.offer(item(3, "low"), at(0))->refused_);
+    EXPECT_FALSE(queue.offer(item(4, "normal"), at(0))->refused_);
+}
+
 // Guards against long statements that count like short ones: a rank of long ones would take more than it may.
 TEST(admission_queue, long_statements_of_a_flooding_rank_leave_the_others_their_share) {
     admission_queue queue{simulation::declare(1)};
