--- a/libraries/proxy/events.hpp
+++ b/libraries/proxy/events.hpp
@@ -25,8 +25,6 @@
 inline constexpr base::event_definition home_closed{
     106, "home_closed", severity::info,
     "This daemon no longer serves a database group: another one is its home."};
-inline constexpr base::event_definition configuration_in_force{107, "configuration_in_force", severity::info,
-                                                               "A newer configuration is in force here."};
 inline constexpr base::event_definition retry_budget_exhausted{
     108, "retry_budget_exhausted", severity::warning,
     "A retry was not made because the group's budget is spent."};
@@ -42,9 +40,17 @@
     112, "configuration_unreadable", severity::error, "The store holds a configuration that cannot be read."};
 
 /// Every definition above, for the test against the catalogue.
-inline constexpr std::array all{
-    &daemon_started, &daemon_ready, &drain_started,           &drain_finished,         &drain_cut,
-    &home_opened,    &home_closed,  &configuration_in_force,  &retry_budget_exhausted, &transaction_abandoned,
-    &home_lost,      &start_failed, &configuration_unreadable};
+inline constexpr std::array all{&daemon_started,
+                                &daemon_ready,
+                                &drain_started,
+                                &drain_finished,
+                                &drain_cut,
+                                &home_opened,
+                                &home_closed,
+                                &retry_budget_exhausted,
+                                &transaction_abandoned,
+                                &home_lost,
+                                &start_failed,
+                                &configuration_unreadable};
 
 } // namespace proxy::events
--- a/libraries/proxy/operator_codec.cpp
+++ b/libraries/proxy/operator_codec.cpp
@@ -90,12 +90,17 @@
     if (!wanted.empty() && wanted != "read" && wanted != "write") {
         return invalid("field 'access' is neither 'read' nor 'write'");
     }
+    const auto* deadline = object.if_contains("deadline_ms");
+    if (deadline != nullptr && (!deadline->is_int64() || deadline->get_int64() <= 0)) {
+        return invalid("field 'deadline_ms' is not a whole number above 0");
+    }
     return base::request{base::request_fields{
         .service_ = text_or_empty(object, "service"),
         .tenant_ = text_or_empty(object, "tenant"),
         .rank_ = text_or_empty(object, "rank"),
         .access_ = wanted == "write" ? base::access::write : base::access::read,
         .read_class_ = text_or_empty(object, "read_class"),
+        .time_left_ = base::clock::duration{deadline == nullptr ? 0 : deadline->get_int64()},
     }};
 }
 
--- a/libraries/proxy/worker.hpp
+++ b/libraries/proxy/worker.hpp
@@ -114,6 +114,9 @@
         for (const auto& [group, home] : homes_) {
             unfinished += home->is_idle() ? 0 : 1;
         }
+        for (const auto& retired : retired_) {
+            unfinished += retired->is_idle() ? 0 : 1;
+        }
         return unfinished;
     }
 
@@ -126,7 +129,11 @@
         for (auto& [group, home] : homes_) {
             home->stop();
         }
+        for (auto& retired : retired_) {
+            retired->stop();
+        }
         homes_.clear();
+        retired_.clear();
     }
 
     /// Returns what the homes on this thread know.
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -153,3 +154,32 @@
         EXPECT_EQ(answered, 1);
     });
 }
+
+// Guards against bytes that are not HTTP, or that stop half-way, holding memory or disturbing other callers.
+TEST(http, malformed_and_stalled_requests_end_and_leave_others_alone) {
+    const http::limits bounds{.transfer_ = base::clock::duration{100}};
+    run_with_echo_server(bounds, [](echo_server& running) -> asio::awaitable<void> {
+        const auto executor = co_await asio::this_coro::executor;
+        asio::ip::tcp::socket garbage{executor};
+        asio::ip::tcp::socket stalled{executor};
+        for (auto* socket : {&garbage, &stalled}) {
+            socket->connect({asio::ip::make_address(local.address()), local.port()});
+        }
+        asio::write(garbage, asio::buffer(std::string{"\x16\x03 not http at all\r\n\r\n"}));
+        asio::write(stalled,
+                    asio::buffer(std::string{"POST /echo HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf"}));
+        std::string received(4096, ' ');
+        const auto count = co_await garbage.async_read_some(asio::buffer(received), asio::use_awaitable);
+        EXPECT_NE(received.substr(0, count).find("invalid_request"), std::string::npos);
+        auto connection = co_await http::client_connection::connect(local, time_limit);
+        auto message = http::json_post("/echo", "fine");
+        const auto answer = co_await connection->exchange(message, time_limit);
+        EXPECT_TRUE(answer);
+        boost::system::error_code ended;
+        co_await stalled.async_read_some(asio::buffer(received),
+                                         asio::redirect_error(asio::use_awaitable, ended));
+        EXPECT_TRUE(ended) << "the stalled request was not given up";
+        co_await http::sleep_for(base::clock::duration{50});
+        EXPECT_EQ(running.open_connections(), 1U);
+    });
+}
