--- /dev/null
+++ b/libraries/backends/connection_content.cpp
@@ -0,0 +1,46 @@
+#include <backends/connection_content.hpp>
+
+#include <algorithm>
+
+namespace backends {
+
+bool connection_content::needs_reset(const std::map<std::string, std::string>& session) const {
+    return std::any_of(values_.begin(), values_.end(),
+                       [&session](const auto& held) { return !session.contains(held.first); });
+}
+
+content_change
+connection_content::change_for(const std::map<std::string, std::string>& session,
+                               const std::optional<base::prepared_statement>& prepared) const {
+    content_change change;
+    change.reset_ = needs_reset(session);
+    for (const auto& [name, value] : session) {
+        const auto held = values_.find(name);
+        if (change.reset_ || held == values_.end() || held->second != value) {
+            change.values_.emplace_back(name, value);
+        }
+    }
+    if (prepared && (change.reset_ || !prepared_.contains(*prepared))) {
+        change.prepare_ = prepared;
+    }
+    return change;
+}
+
+void connection_content::apply(const content_change& change) {
+    if (change.reset_) {
+        values_.clear();
+        prepared_.clear();
+    }
+    for (const auto& [name, value] : change.values_) {
+        values_.insert_or_assign(name, value);
+    }
+    if (change.prepare_) {
+        prepared_.insert(*change.prepare_);
+    }
+}
+
+std::size_t connection_content::distance_to(const std::map<std::string, std::string>& session) const {
+    return change_for(session, std::nullopt).values_.size() + (needs_reset(session) ? 1 : 0);
+}
+
+} // namespace backends
--- /dev/null
+++ b/libraries/backends/connection_content.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <base/prepared_statement.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace backends {
+
+/// What has to be sent on a connection before a session's statement may run there.
+struct content_change {
+    /// Clears all values and prepared statements first.
+    bool reset_ = false;
+    std::vector<std::pair<std::string, std::string>> values_;
+    std::optional<base::prepared_statement> prepare_;
+
+    [[nodiscard]] bool empty() const noexcept { return !reset_ && values_.empty() && !prepare_; }
+    friend auto operator<=>(const content_change&, const content_change&) = default;
+};
+
+/// The session values and prepared statements that a database connection holds.
+/// Thread safety: owned by the connection's thread.
+class connection_content {
+public:
+    /// Returns what is missing for a session with these values whose statement executes `prepared`.
+    [[nodiscard]] content_change
+    change_for(const std::map<std::string, std::string>& session,
+               const std::optional<base::prepared_statement>& prepared) const;
+
+    /// Notes that a change took effect. Precondition: it was computed for the present content.
+    void apply(const content_change& change);
+
+    /// Returns how many messages a session's values cost, to choose among idle connections.
+    [[nodiscard]] std::size_t distance_to(const std::map<std::string, std::string>& session) const;
+
+private:
+    [[nodiscard]] bool needs_reset(const std::map<std::string, std::string>& session) const;
+
+    std::map<std::string, std::string> values_;
+    std::set<base::prepared_statement> prepared_;
+};
+
+} // namespace backends
--- a/libraries/base/clock.hpp
+++ b/libraries/base/clock.hpp
@@ -4,10 +4,12 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <ctime>
 
 namespace base {
 
-/// The one clock of the project: a standard clock of whole milliseconds that never goes back.
+/// The one clock of the project: a standard clock of whole milliseconds that never goes back. It goes on while the
+/// host is suspended, so that a lease or evidence that lapsed meanwhile is seen to have lapsed.
 /// Thread safety: every function may be called from any thread.
 class clock {
 public:
@@ -19,8 +21,10 @@
 
     /// Returns the milliseconds since an arbitrary start of this host.
     [[nodiscard]] static time_point now() noexcept {
-        return time_point{
-            std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch())};
+        timespec reading{};
+        clock_gettime(CLOCK_BOOTTIME, &reading);
+        const auto elapsed = std::chrono::seconds{reading.tv_sec} + std::chrono::nanoseconds{reading.tv_nsec};
+        return time_point{std::chrono::duration_cast<duration>(elapsed)};
     }
 };
 
--- a/libraries/base/error_kind.cpp
+++ b/libraries/base/error_kind.cpp
@@ -54,6 +54,8 @@
                       "run the same version of sassafrasdeald on both hosts"},
     error_description{error_kind::platform_unavailable, "platform_unavailable",
                       "try again when the platform's store answers; requests are served meanwhile"},
+    error_description{error_kind::history_lost, "history_lost",
+                      "read the present content and watch from its revision"},
     error_description{error_kind::publish_conflict, "publish_conflict",
                       "fetch the winner's declarations, merge them and publish again"},
     error_description{error_kind::settings_invalid, "settings_invalid",
--- a/libraries/base/error_kind.hpp
+++ b/libraries/base/error_kind.hpp
@@ -27,6 +27,7 @@
     peer_unavailable,
     frame_invalid,
     platform_unavailable,
+    history_lost,
     publish_conflict,
     settings_invalid,
     declaration_invalid,
--- a/libraries/base/event.cpp
+++ b/libraries/base/event.cpp
@@ -22,6 +22,9 @@
     return spdlog::level::err;
 }
 
+// The library reserves the whole queue at the start: some hundred bytes a line.
+constexpr std::size_t queued_lines = 2048;
+
 bool needs_quotes(std::string_view value) {
     return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
 }
@@ -60,13 +63,18 @@
 
 void start_logging(std::string_view level) {
     // A slow reader of the log drops the oldest lines instead of holding up the path of a request.
-    auto logger = spdlog::create_async_nb<spdlog::sinks::stderr_sink_mt>("sassafrasdeal");
+    spdlog::init_thread_pool(queued_lines, 1);
+    auto logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("sassafrasdeal");
     logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
     spdlog::set_default_logger(logger);
-    spdlog::set_level(spdlog::level::from_str(std::string{level}));
+    set_log_level(level);
     spdlog::flush_every(std::chrono::seconds{1});
 }
 
+void set_log_level(std::string_view level) {
+    spdlog::set_level(spdlog::level::from_str(std::string{level}));
+}
+
 void flush_log() {
     spdlog::default_logger()->flush();
 }
--- a/libraries/base/event.hpp
+++ b/libraries/base/event.hpp
@@ -30,10 +30,13 @@
 /// Thread safety: any thread.
 void log_event(const event_definition& definition, std::initializer_list<event_field> fields);
 
-/// Sets up the logger of the process: to standard error, asynchronous, one line an event.
+/// Sets up the logger of the process: to standard output, asynchronous, one line an event.
 /// Precondition: called once, before the first thread starts. `level` is a name that spdlog knows.
 void start_logging(std::string_view level);
 
+/// Changes the least severity that is logged. Thread safety: any thread.
+void set_log_level(std::string_view level);
+
 /// Writes out what is buffered. Thread safety: any thread.
 void flush_log();
 
--- /dev/null
+++ b/libraries/base/prepared_statement.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace base {
+
+/// Whether a prepared statement reads or writes.
+enum class prepared_effect : std::uint8_t { reads, writes };
+
+/// A statement that a session has prepared. Sessions that prepared the same shape share it at a database.
+struct prepared_statement {
+    prepared_effect effect_ = prepared_effect::reads;
+    std::string shape_;
+
+    friend auto operator<=>(const prepared_statement&, const prepared_statement&) = default;
+};
+
+} // namespace base
--- /dev/null
+++ b/libraries/daemons/fleet_message.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/immutable.hpp>
+#include <daemons/takeover_record.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace daemons {
+
+/// What a message between session daemons asks, answers or tells.
+enum class fleet_message_kind : std::uint8_t {
+    /// Asks for the evidence and the takeover records of the receiver.
+    question,
+    answer,
+    /// Asks the receiver to stop using a primary; repeated until it answers.
+    stop_request,
+    /// The sender uses the primary no longer, and has nothing under way there.
+    stop_answer,
+    /// Tells that the primary of a service does not answer the sender.
+    suspicion,
+    /// Tells a new state of a takeover record.
+    notice,
+};
+
+/// How a daemon sees the primary of a service.
+enum class primary_sight : std::uint8_t { answers, unknown, fails };
+
+/// One daemon's sight of one primary.
+struct sighted_primary_fields {
+    std::string service_;
+    std::string database_;
+    primary_sight sight_ = primary_sight::unknown;
+
+    friend auto operator<=>(const sighted_primary_fields&, const sighted_primary_fields&) = default;
+    friend bool operator==(const sighted_primary_fields&, const sighted_primary_fields&) = default;
+};
+
+using sighted_primary = base::immutable<sighted_primary_fields>;
+
+struct fleet_message_fields {
+    fleet_message_kind kind_ = fleet_message_kind::question;
+    /// Pairs a question with its answer.
+    std::uint64_t number_ = 0;
+    /// Peer address of the sender.
+    std::string sender_;
+    std::uint64_t run_ = 0;
+    /// For an answer: how long ago the sender read the store itself; nothing if it did not.
+    std::optional<base::clock::duration> evidence_age_;
+    /// For an answer: the run of the asking daemon under which the sender knows it as registered; 0 for none. A
+    /// daemon that is not registered is not asked before a takeover, so it must not rest on peers' evidence.
+    std::uint64_t known_run_ = 0;
+    std::vector<takeover_record> records_;
+    /// For a stop request: how long statements under way may go on.
+    base::clock::duration grace_{0};
+    /// Services of which the sender has begun a takeover that is not settled.
+    std::vector<std::string> begun_;
+    std::vector<sighted_primary> primaries_;
+
+    friend auto operator<=>(const fleet_message_fields&, const fleet_message_fields&) = default;
+    friend bool operator==(const fleet_message_fields&, const fleet_message_fields&) = default;
+};
+
+using fleet_message = base::immutable<fleet_message_fields>;
+
+} // namespace daemons
--- a/libraries/daemons/message_codec.cpp
+++ b/libraries/daemons/message_codec.cpp
@@ -65,6 +65,22 @@
             fields.state_, fields.configuration_revision_);
 }
 
+template <typename Archive>
+void transfer(Archive& archive, fields_of<takeover_record_fields> auto& fields) {
+    archive(fields.service_, fields.phase_, fields.replaced_, fields.chosen_, fields.revision_);
+}
+
+template <typename Archive>
+void transfer(Archive& archive, fields_of<sighted_primary_fields> auto& fields) {
+    archive(fields.service_, fields.database_, fields.sight_);
+}
+
+template <typename Archive>
+void transfer(Archive& archive, fields_of<fleet_message_fields> auto& fields) {
+    archive(fields.kind_, fields.number_, fields.sender_, fields.run_, fields.evidence_age_, fields.known_run_,
+            fields.records_, fields.grace_, fields.begun_, fields.primaries_);
+}
+
 template <typename Archive>
 void transfer(Archive& archive, fields_of<datagram_fields> auto& fields) {
     archive(fields.kind_, fields.sequence_, fields.sender_, fields.subject_, fields.subject_address_,
@@ -92,6 +108,15 @@
 constexpr std::uint8_t last_value(member_state /*type*/) {
     return static_cast<std::uint8_t>(member_state::dead);
 }
+constexpr std::uint8_t last_value(takeover_phase /*type*/) {
+    return static_cast<std::uint8_t>(takeover_phase::settled);
+}
+constexpr std::uint8_t last_value(fleet_message_kind /*type*/) {
+    return static_cast<std::uint8_t>(fleet_message_kind::notice);
+}
+constexpr std::uint8_t last_value(primary_sight /*type*/) {
+    return static_cast<std::uint8_t>(primary_sight::fails);
+}
 constexpr std::uint8_t last_value(datagram_kind /*type*/) {
     return static_cast<std::uint8_t>(datagram_kind::list_answer);
 }
@@ -359,6 +384,7 @@
 template std::string encode_message(const configuration_offer&);
 template std::string encode_message(const hold_back_notice&);
 template std::string encode_message(const datagram&);
+template std::string encode_message(const fleet_message&);
 
 template base::result<base::request> decode_message(std::string_view);
 template base::result<base::answer> decode_message(std::string_view);
@@ -369,5 +395,6 @@
 template base::result<configuration_offer> decode_message(std::string_view);
 template base::result<hold_back_notice> decode_message(std::string_view);
 template base::result<datagram> decode_message(std::string_view);
+template base::result<fleet_message> decode_message(std::string_view);
 
 } // namespace daemons
--- a/libraries/daemons/message_codec.hpp
+++ b/libraries/daemons/message_codec.hpp
@@ -5,6 +5,7 @@
 #include <base/result.hpp>
 #include <daemons/configuration_offer.hpp>
 #include <daemons/datagram.hpp>
+#include <daemons/fleet_message.hpp>
 #include <daemons/hold_back_notice.hpp>
 #include <daemons/refusal.hpp>
 #include <daemons/suspicion_check.hpp>
@@ -22,7 +23,7 @@
     std::same_as<Message, refusal> || std::same_as<Message, suspicion_check> ||
     std::same_as<Message, reachability> || std::same_as<Message, configuration_fetch> ||
     std::same_as<Message, configuration_offer> || std::same_as<Message, hold_back_notice> ||
-    std::same_as<Message, datagram>;
+    std::same_as<Message, datagram> || std::same_as<Message, fleet_message>;
 
 /// Returns the bytes of a message. Negative durations are sent as zero.
 template <wire_message Message>
--- /dev/null
+++ b/libraries/daemons/primary_evidence.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <base/clock.hpp>
+
+#include <compare>
+#include <optional>
+
+namespace daemons {
+
+/// How long evidence lasts.
+struct evidence_limits {
+    /// A takeover waits this long for a daemon that does not answer, so it bounds the gap after a host and a
+    /// primary fail together; it also bounds how long primaries are used while nothing can be asked.
+    base::clock::duration valid_for_{4'000};
+    /// For how long after the last sight of the store rounds among the known daemons count.
+    base::clock::duration rounds_for_{12'000};
+
+    friend auto operator<=>(const evidence_limits&, const evidence_limits&) = default;
+};
+
+/// Evidence that no takeover has begun which this daemon does not know of. It is dated at the moment the
+/// question was sent, because a takeover may begin while the answer is on its way.
+/// Thread safety: owned by one thread.
+class primary_evidence {
+public:
+    explicit primary_evidence(evidence_limits limits = {}) noexcept : limits_{limits} {}
+
+    /// Notes a linearizable read of all takeover records and registrations, sent at `asked_at`.
+    void note_store_read(base::clock::time_point asked_at) noexcept;
+    /// Notes that a peer, asked at `asked_at`, read the store `age` before it answered, and told its records.
+    void note_peer(base::clock::time_point asked_at, base::clock::duration age) noexcept;
+    /// Notes that every registered daemon, asked at `asked_at` or later, has begun no takeover.
+    void note_round(base::clock::time_point asked_at) noexcept;
+    /// Forgets everything: this daemon is not registered.
+    void clear() noexcept;
+
+    /// Returns until when primaries may be used.
+    [[nodiscard]] base::clock::time_point until() const noexcept;
+    /// Returns the age of this daemon's own last sight of the store, which is what it may tell peers.
+    [[nodiscard]] std::optional<base::clock::duration> store_age(base::clock::time_point now) const noexcept;
+
+private:
+    evidence_limits limits_;
+    std::optional<base::clock::time_point> store_read_;
+    /// The latest moment that a read of the store, by this daemon or a peer, has shown.
+    std::optional<base::clock::time_point> seen_;
+    /// Fixed when a round is accepted; a later read does not lengthen what the round showed.
+    base::clock::time_point round_until_{};
+};
+
+} // namespace daemons
--- a/libraries/http/client_connection.cpp
+++ b/libraries/http/client_connection.cpp
@@ -125,6 +125,9 @@
         failure = co_await exchange_messages(self.stream_, self.buffer_, outgoing, parser);
     }
     if (failure) {
+        // A reset drops bytes that a partition holds back; an abandoned request must not arrive later.
+        boost::system::error_code ignored;
+        self.stream_.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
         close();
         co_return exchange_error(failure, self.peer_);
     }
--- a/libraries/operators/file_format.cpp
+++ b/libraries/operators/file_format.cpp
@@ -73,6 +73,45 @@
                         platform_keys, "How the daemon reaches the platform."},
 };
 
+constexpr std::array session_daemon_keys{
+    key_description{"name", value_type::name, necessity::required, "", 1, most_name_bytes,
+                    "Name of the daemon, unique in the fleet."},
+    key_description{"failure_domain", value_type::name, necessity::required, "", 1, most_name_bytes,
+                    "Failure domain of the host; databases there are preferred for reads."},
+    key_description{"threads", value_type::number, necessity::optional, "1", 1, 256,
+                    "Threads that serve clients; one for each core of the host."},
+    key_description{"log_level", value_type::log_level, necessity::optional, "info", 0, 0,
+                    "Least severity that is logged."},
+};
+
+constexpr std::array address_keys{
+    key_description{"address", value_type::address, necessity::required, "", 0, 0, "IP address and port."},
+};
+
+constexpr std::array stop_keys{
+    key_description{"grace_s", value_type::seconds, necessity::optional, "6", 1'000, hour_ms,
+                    "Time from SIGTERM until the process is killed."},
+};
+
+constexpr std::array session_sections{
+    section_description{"daemon", section_form::single, necessity::required, value_type::name,
+                        session_daemon_keys, "The daemon itself."},
+    section_description{"clients", section_form::single, necessity::required, value_type::name, address_keys,
+                        "Where clients connect."},
+    section_description{"readiness", section_form::single, necessity::required, value_type::name,
+                        address_keys, "Where the platform asks whether the daemon takes new connections."},
+    section_description{"peers", section_form::single, necessity::required, value_type::name, address_keys,
+                        "Where other daemons send datagrams."},
+    section_description{"metrics", section_form::single, necessity::required, value_type::name, address_keys,
+                        "Where the metrics are served (HTTP)."},
+    section_description{"store", section_form::single, necessity::required, value_type::name, address_keys,
+                        "Where the platform's store answers (HTTP)."},
+    section_description{"promotion", section_form::single, necessity::required, value_type::name,
+                        address_keys, "Where the platform takes promotion orders (HTTP)."},
+    section_description{"stop", section_form::single, necessity::optional, value_type::name, stop_keys,
+                        "How the daemon stops."},
+};
+
 constexpr std::array service_keys{
     key_description{"name", value_type::name, necessity::required, "", 1, most_name_bytes,
                     "Name of the service and of its database group, unique in the configuration."},
@@ -131,6 +170,7 @@
 };
 
 constexpr file_format settings_format{settings_sections};
+constexpr file_format session_format{session_sections};
 constexpr file_format declaration_format{declaration_sections};
 
 } // namespace
@@ -139,6 +179,10 @@
     return settings_format;
 }
 
+const file_format& session_settings_format() noexcept {
+    return session_format;
+}
+
 const file_format& service_declaration_format() noexcept {
     return declaration_format;
 }
@@ -155,6 +199,8 @@
         return "number";
     case value_type::milliseconds:
         return "milliseconds";
+    case value_type::seconds:
+        return "seconds";
     case value_type::bytes:
         return "bytes";
     case value_type::percent:
--- a/libraries/operators/file_format.hpp
+++ b/libraries/operators/file_format.hpp
@@ -19,6 +19,8 @@
     number,
     /// A whole number of milliseconds.
     milliseconds,
+    /// Seconds with an optional fraction; held as, and bounded in, milliseconds.
+    seconds,
     /// A whole number of bytes.
     bytes,
     /// A whole number of percent.
@@ -71,6 +73,9 @@
 /// Returns the format of a daemon's settings. Thread safety: constant.
 [[nodiscard]] const file_format& daemon_settings_format() noexcept;
 
+/// Returns the format of a session daemon's settings. Thread safety: constant.
+[[nodiscard]] const file_format& session_settings_format() noexcept;
+
 /// Returns the format of a service's declaration. Thread safety: constant.
 [[nodiscard]] const file_format& service_declaration_format() noexcept;
 
--- /dev/null
+++ b/libraries/operators/session_settings.cpp
@@ -0,0 +1,53 @@
+#include <operators/session_settings.hpp>
+
+#include <operators/file_format.hpp>
+#include <operators/keyed_file.hpp>
+
+#include <utility>
+
+namespace operators {
+
+namespace {
+
+base::endpoint address_in(const keyed_file& file, std::string_view section) {
+    return file.section_of(section).value_of<base::endpoint>("address");
+}
+
+session_settings_fields build_settings(const keyed_file& file) {
+    const auto daemon = file.section_of("daemon");
+    session_settings_fields fields;
+    fields.name_ = daemon.value_of<std::string>("name");
+    fields.failure_domain_ = daemon.value_of<std::string>("failure_domain");
+    fields.threads_ = static_cast<std::uint32_t>(daemon.value_of<std::uint64_t>("threads"));
+    fields.log_level_ = daemon.value_of<std::string>("log_level");
+    fields.client_address_ = address_in(file, "clients");
+    fields.readiness_address_ = address_in(file, "readiness");
+    fields.peer_address_ = address_in(file, "peers");
+    fields.metrics_address_ = address_in(file, "metrics");
+    fields.store_address_ = address_in(file, "store");
+    fields.promotion_address_ = address_in(file, "promotion");
+    const auto grace = file.section_of("stop").value_of<std::uint64_t>("grace_s");
+    fields.grace_ = grace > 0 ? base::clock::duration{grace} : fields.grace_;
+    return fields;
+}
+
+} // namespace
+
+checked<session_settings> read_session_settings(std::string_view text, std::string file) {
+    auto read = read_keyed_text(text, std::move(file), session_settings_format());
+    if (!read.problems_.empty()) {
+        return {std::nullopt, std::move(read.problems_)};
+    }
+    return {session_settings{build_settings(read)}, {}};
+}
+
+checked<session_settings> load_session_settings(const std::string& path) {
+    const auto text = read_whole_file(path);
+    if (!text) {
+        return {std::nullopt,
+                {{path, "", "", text.last_reason().message(), "check the path and the rights"}}};
+    }
+    return read_session_settings(*text, path);
+}
+
+} // namespace operators
--- /dev/null
+++ b/libraries/operators/session_settings.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/endpoint.hpp>
+#include <base/immutable.hpp>
+#include <operators/problem.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace operators {
+
+/// The settings of one session daemon, from its INI file.
+struct session_settings_fields {
+    std::string name_;
+    std::string failure_domain_;
+    std::uint32_t threads_ = 1;
+    std::string log_level_ = "info";
+    base::endpoint client_address_;
+    base::endpoint readiness_address_;
+    base::endpoint peer_address_;
+    base::endpoint metrics_address_;
+    base::endpoint store_address_;
+    base::endpoint promotion_address_;
+    /// From SIGTERM until the process is killed.
+    base::clock::duration grace_{6'000};
+
+    friend auto operator<=>(const session_settings_fields&, const session_settings_fields&) = default;
+    friend bool operator==(const session_settings_fields&, const session_settings_fields&) = default;
+};
+
+using session_settings = base::immutable<session_settings_fields>;
+
+/// Reads settings from the text of an INI file. `file` stands for it in problems.
+[[nodiscard]] checked<session_settings> read_session_settings(std::string_view text, std::string file);
+
+/// Reads settings from a file; an unreadable file is a problem too.
+[[nodiscard]] checked<session_settings> load_session_settings(const std::string& path);
+
+} // namespace operators
--- a/libraries/operators/value_reader.cpp
+++ b/libraries/operators/value_reader.cpp
@@ -74,6 +74,21 @@
                                            : text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
+base::result<key_value> read_seconds(const key_description& description, std::string_view text) {
+    double seconds = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    constexpr double most_seconds = 1e9;
+    if (status != std::errc{} || end != text.data() + text.size() || seconds < 0 || seconds > most_seconds) {
+        return invalid(quoted(text) + " is not a number of seconds");
+    }
+    constexpr double milliseconds_per_second = 1000;
+    const auto milliseconds = static_cast<std::uint64_t>(seconds * milliseconds_per_second);
+    if (milliseconds < description.lowest_ || milliseconds > description.highest_) {
+        return invalid(quoted(text) + " seconds are outside " + range_of(description) + " milliseconds");
+    }
+    return key_value{milliseconds};
+}
+
 base::result<key_value> read_addresses(const key_description& description, std::string_view text) {
     std::vector<base::endpoint> addresses;
     while (!text.empty()) {
@@ -115,6 +130,8 @@
     case value_type::bytes:
     case value_type::percent:
         return read_number(description, text);
+    case value_type::seconds:
+        return read_seconds(description, text);
     case value_type::address: {
         auto address = read_address(text);
         return address ? base::result<key_value>{key_value{*address}} : address.last_reason();
--- /dev/null
+++ b/libraries/platform/fleet_store.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/result.hpp>
+#include <platform/store_item.hpp>
+#include <platform/store_transaction.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+
+namespace platform {
+
+/// The calls of the platform's store that the fleet uses. One object carries one call at a time.
+///
+/// Reads are linearizable. Errors of each call: `overloaded` (refused, not done), `platform_unavailable` (not
+/// sent, or a read without an answer), `answer_lost` (a change that was sent and perhaps done), `history_lost`
+/// (a watch that has to start again from a read), `not_found` (no such key or lease).
+template <typename Store>
+concept fleet_store = requires(Store& store, std::string key, std::uint64_t number,
+                               base::clock::duration length, store_transaction change) {
+    { store.get(key) } -> std::same_as<boost::asio::awaitable<base::result<store_item>>>;
+    { store.list(key, key) } -> std::same_as<boost::asio::awaitable<base::result<store_page>>>;
+    { store.watch(key, number, length) } -> std::same_as<boost::asio::awaitable<base::result<store_changes>>>;
+    { store.change(change) } -> std::same_as<boost::asio::awaitable<base::result<transaction_result>>>;
+    { store.grant_lease(length) } -> std::same_as<boost::asio::awaitable<base::result<std::uint64_t>>>;
+    { store.keep_lease(number) } -> std::same_as<boost::asio::awaitable<base::result<bool>>>;
+};
+
+} // namespace platform
--- /dev/null
+++ b/libraries/platform/store_item.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace platform {
+
+/// A key of the store with its value.
+struct store_item {
+    std::string key_;
+    std::string value_;
+    /// Of the last change of this key.
+    std::uint64_t revision_ = 0;
+
+    friend auto operator<=>(const store_item&, const store_item&) = default;
+};
+
+/// Part of the keys under a prefix.
+struct store_page {
+    std::vector<store_item> items_;
+    /// Whether more keys follow the last one.
+    bool has_more_ = false;
+    /// The store's revision at the time of the answer.
+    std::uint64_t at_ = 0;
+
+    friend auto operator<=>(const store_page&, const store_page&) = default;
+};
+
+/// A key that was written or removed.
+struct store_event {
+    std::string key_;
+    std::uint64_t revision_ = 0;
+    /// Empty when the key was removed.
+    std::optional<std::string> value_;
+
+    friend auto operator<=>(const store_event&, const store_event&) = default;
+};
+
+/// What has changed under a prefix.
+struct store_changes {
+    std::vector<store_event> events_;
+    /// The revision from which to go on.
+    std::uint64_t at_ = 0;
+
+    friend auto operator<=>(const store_changes&, const store_changes&) = default;
+};
+
+} // namespace platform
--- /dev/null
+++ b/libraries/platform/store_transaction.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace platform {
+
+/// A condition on a key: its revision, or 0 for a key that does not exist.
+struct expected_revision {
+    std::string key_;
+    std::uint64_t revision_ = 0;
+
+    friend auto operator<=>(const expected_revision&, const expected_revision&) = default;
+};
+
+/// A value to write.
+struct store_put {
+    std::string key_;
+    std::string value_;
+    /// The lease that the key lives with; 0 for none.
+    std::uint64_t lease_ = 0;
+
+    friend auto operator<=>(const store_put&, const store_put&) = default;
+};
+
+/// Changes that happen together, if all conditions hold.
+struct store_transaction {
+    std::vector<expected_revision> expected_;
+    std::vector<store_put> puts_;
+    std::vector<std::string> removals_;
+
+    friend auto operator<=>(const store_transaction&, const store_transaction&) = default;
+};
+
+/// How a transaction ended.
+struct transaction_result {
+    bool applied_ = false;
+    /// The store's revision of the change, if it was applied.
+    std::uint64_t revision_ = 0;
+
+    friend auto operator<=>(const transaction_result&, const transaction_result&) = default;
+};
+
+} // namespace platform
--- /dev/null
+++ b/libraries/proxy/control_context.hpp
@@ -0,0 +1,187 @@
+#pragma once
+
+#include <backends/primary_health.hpp>
+#include <base/clock.hpp>
+#include <base/event.hpp>
+#include <daemons/fleet_message.hpp>
+#include <daemons/primary_evidence.hpp>
+#include <operators/session_settings.hpp>
+#include <proxy/events.hpp>
+#include <proxy/fleet_knowledge.hpp>
+#include <proxy/session_shared.hpp>
+#include <proxy/group_table.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace proxy {
+
+/// The duty of replacing primaries, as long as this daemon holds it.
+struct held_duty {
+    /// The store's revision at which it was taken; grows with each holder.
+    std::uint64_t token_ = 0;
+    std::uint64_t lease_ = 0;
+    /// When the read of the store was sent that last showed this daemon as the holder.
+    base::clock::time_point verified_at_{};
+    base::clock::time_point taken_at_{};
+
+    friend auto operator<=>(const held_duty&, const held_duty&) = default;
+};
+
+/// The state of the control thread, which its parts share. Thread safety: owned by the control thread.
+template <typename Platform>
+struct control_context {
+    using tables = group_tables<typename Platform::protocol>;
+    using table = typename tables::table;
+
+    control_context(boost::asio::io_context& context, operators::session_settings settings,
+                    session_shared& shared, const tables& groups, std::uint64_t run)
+        : context_{context}, settings_{std::move(settings)}, shared_{shared}, groups_{groups},
+          run_{run}, address_{settings_->peer_address_.to_string()} {}
+
+    /// Hands the present view of the fleet to the request threads if it differs from the last one.
+    void publish() {
+        const auto routes = shared_.routes_.get();
+        auto view = knowledge_.view(*routes);
+        if (view == published_) {
+            return;
+        }
+        log_changes(view);
+        published_ = view;
+        shared_.fleet_.publish(std::move(view));
+        for (auto* one : groups_.all()) {
+            boost::asio::post(one->executor(), [one] { one->refresh(); });
+        }
+    }
+
+    /// Hands the end of the evidence to the request threads.
+    void publish_evidence() {
+        shared_.authority_.set_until(evidence_.until());
+        const bool holds = shared_.authority_.holds_at(base::clock::now());
+        if (holds != had_evidence_) {
+            had_evidence_ = holds;
+            base::log_event(events::evidence_changed, {{"held", holds ? "yes" : "no"}});
+        }
+    }
+
+    /// Adopts a takeover record from the store or a peer and hands it on. Returns whether it is new.
+    bool adopt(const daemons::takeover_record& record) {
+        if (!knowledge_.adopt(record)) {
+            return false;
+        }
+        publish();
+        return true;
+    }
+
+    /// Lets this daemon try whether the primary of a service answers.
+    void probe_primary(const std::string& service) {
+        auto& owner = groups_.owner_of(service);
+        boost::asio::post(owner.executor(),
+                          [&owner, service] { owner.find_or_make(service)->probe_primary(); });
+    }
+
+    /// Closes what is under way at a replaced primary after `grace`. Precondition: its record was adopted.
+    [[nodiscard]] boost::asio::awaitable<void> stop_using(std::string service, std::string database,
+                                                          base::clock::duration grace) {
+        auto& owner = groups_.owner_of(service);
+        auto work = stop_at(owner, std::move(service), std::move(database), grace);
+        co_await boost::asio::co_spawn(owner.executor(), std::move(work), boost::asio::use_awaitable);
+    }
+
+    /// Collects what the groups of all threads see of their primaries.
+    [[nodiscard]] boost::asio::awaitable<void> collect_healths() {
+        for (auto* one : groups_.all()) {
+            auto work = healths_at(*one);
+            auto reports =
+                co_await boost::asio::co_spawn(one->executor(), std::move(work), boost::asio::use_awaitable);
+            for (auto& report : reports) {
+                auto service = report.service_;
+                healths_.insert_or_assign(std::move(service), std::move(report));
+            }
+        }
+    }
+
+    /// Returns how this daemon sees the primary of a service.
+    [[nodiscard]] daemons::primary_sight sight_of(const std::string& service, const std::string& database,
+                                                  base::clock::time_point now) const {
+        const auto found = healths_.find(service);
+        if (found == healths_.end() || found->second.database_ != database) {
+            return daemons::primary_sight::unknown;
+        }
+        if (found->second.failing_for_) {
+            return daemons::primary_sight::fails;
+        }
+        return now - found->second.last_answer_ <= recent_answer ? daemons::primary_sight::answers
+                                                                 : daemons::primary_sight::unknown;
+    }
+
+    // An older answer says nothing about a primary that may have failed since.
+    static constexpr base::clock::duration recent_answer{500};
+
+    boost::asio::io_context& context_;
+    operators::session_settings settings_;
+    session_shared& shared_;
+    const tables& groups_;
+    /// Drawn at the start of this process.
+    std::uint64_t run_;
+    /// This daemon's identity in the fleet.
+    std::string address_;
+    fleet_knowledge knowledge_;
+    daemons::primary_evidence evidence_;
+    std::map<std::string, backends::primary_health> healths_;
+    /// Services of which this daemon has begun a takeover that is not settled.
+    std::set<std::string> begun_;
+    std::optional<held_duty> duty_;
+    /// When this daemon's registration was acknowledged.
+    std::optional<base::clock::time_point> registered_at_;
+    bool has_databases_ = false;
+    bool is_draining_ = false;
+
+private:
+    static boost::asio::awaitable<void> stop_at(table& here, std::string service, std::string database,
+                                                base::clock::duration grace) {
+        // The view with the open record was posted before, so the group has it already.
+        const auto group = here.find_or_make(service);
+        co_await group->stop_using(std::move(database), grace);
+    }
+
+    static boost::asio::awaitable<std::vector<backends::primary_health>> healths_at(table& here) {
+        co_return here.healths();
+    }
+
+    void log_changes(const fleet_view& view) const {
+        for (const auto& [service, one] : view->services_) {
+            const auto before = published_->services_.find(service);
+            if (before != published_->services_.end() && before->second == one) {
+                continue;
+            }
+            std::string listed;
+            for (const auto& database : one->databases_) {
+                listed.append(database->id_)
+                    .append(database->state_ == backends::listed_state::draining ? "(draining) " : " ");
+            }
+            base::log_event(events::service_changed,
+                            {{"service", service},
+                             {"primary", one->primary_},
+                             {"state", std::to_string(static_cast<int>(one->primary_state_))},
+                             {"databases", listed}});
+        }
+    }
+
+    fleet_view published_;
+    bool had_evidence_ = false;
+};
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/fleet_knowledge.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <backends/database_listing.hpp>
+#include <base/clock.hpp>
+#include <daemons/takeover_record.hpp>
+#include <operators/session_routes.hpp>
+#include <proxy/fleet_view.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace proxy {
+
+/// What a daemon has learnt from the store and its peers about databases, takeovers and daemons.
+/// Thread safety: owned by the control thread. Time is passed in.
+class fleet_knowledge {
+public:
+    /// Takes over the whole server list.
+    void set_databases(const std::vector<backends::database_listing>& databases,
+                       base::clock::time_point now);
+    /// Notes a changed entry of the server list.
+    void note_database(backends::database_listing database);
+    /// Notes that an entry is gone. Its database stays known for a while, because entries that lapsed during
+    /// an outage of the store come back.
+    void note_vanished(const std::string& id, base::clock::time_point now);
+    /// Forgets databases whose entries have been gone for long. Returns whether there were any.
+    bool forget_vanished(base::clock::time_point now);
+
+    /// Takes over a takeover record if it is newer than the known one. Returns whether it is.
+    bool adopt(const daemons::takeover_record& record);
+    [[nodiscard]] std::optional<daemons::takeover_record> record_of(const std::string& service) const;
+    [[nodiscard]] std::vector<daemons::takeover_record> records() const;
+
+    void set_registrations(std::map<std::string, daemons::registration> registrations) {
+        registrations_ = std::move(registrations);
+    }
+    [[nodiscard]] const std::map<std::string, daemons::registration>& registrations() const noexcept {
+        return registrations_;
+    }
+
+    [[nodiscard]] std::vector<backends::database_listing> databases_of(const std::string& service) const;
+    [[nodiscard]] std::optional<backends::database_listing> find_database(const std::string& id) const;
+    /// Returns since when a database's entry is gone, or nothing while it is listed.
+    [[nodiscard]] std::optional<base::clock::time_point> vanished_since(const std::string& id) const;
+
+    /// Returns the database that leads a service and whether it may be used: by the last takeover, or before
+    /// the first one by what the databases say of themselves.
+    [[nodiscard]] backends::service_view view_of(const std::string& service,
+                                                 std::uint32_t most_connections) const;
+    /// Returns the view of all services of a configuration.
+    [[nodiscard]] fleet_view view(const operators::session_routes& routes) const;
+
+private:
+    struct listed_database {
+        backends::database_listing listing_;
+        std::optional<base::clock::time_point> vanished_at_;
+    };
+
+    std::map<std::string, listed_database> databases_;
+    std::map<std::string, daemons::takeover_record> records_;
+    std::map<std::string, daemons::registration> registrations_;
+};
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/fleet_poll.hpp
@@ -0,0 +1,251 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/event.hpp>
+#include <daemons/takeover_record.hpp>
+#include <http/sleep.hpp>
+#include <platform/store_transaction.hpp>
+#include <proxy/control_context.hpp>
+#include <proxy/fleet_keys.hpp>
+#include <proxy/retry_pause.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace proxy {
+
+/// Reads the fleet's own keys again and again: takeover records, registrations and the duty. Each read is
+/// evidence; this daemon registers itself before its first one counts. Thread safety: control thread.
+template <typename Platform>
+class fleet_poll {
+public:
+    explicit fleet_poll(control_context<Platform>& control)
+        : control_{control}, store_{control.settings_->store_address_, call_timeout},
+          renewal_store_{control.settings_->store_address_, call_timeout},
+          duty_store_{control.settings_->store_address_, call_timeout},
+          hand_over_store_{control.settings_->store_address_, call_timeout} {}
+
+    /// Polls until the process ends.
+    [[nodiscard]] boost::asio::awaitable<void> poll() {
+        retry_pause pause{"fleet"};
+        for (;;) {
+            const auto read = co_await read_once();
+            if (!read) {
+                co_await http::sleep_for(pause.after_failure(read.last_reason()));
+                continue;
+            }
+            pause.after_success();
+            if (*read) {
+                co_await http::sleep_for(period);
+            }
+        }
+    }
+
+    /// Renews the lease of the duty until the process ends.
+    [[nodiscard]] boost::asio::awaitable<void> keep_duty() {
+        for (;;) {
+            co_await http::sleep_for(renewal_period);
+            if (!control_.duty_) {
+                continue;
+            }
+            const auto lease = control_.duty_->lease_;
+            const auto kept = co_await renewal_store_.keep_lease(lease);
+            if (kept && !*kept && control_.duty_ && control_.duty_->lease_ == lease) {
+                lose_duty("its lease has ended");
+            }
+        }
+    }
+
+    /// Gives the duty back, so that another daemon takes it at once. Precondition: no takeover is under way.
+    [[nodiscard]] boost::asio::awaitable<void> hand_back() {
+        if (!control_.duty_) {
+            co_return;
+        }
+        platform::store_transaction change;
+        change.expected_.push_back({std::string{fleet_keys::duty}, control_.duty_->token_});
+        change.removals_.push_back(std::string{fleet_keys::duty});
+        lose_duty("the daemon stops");
+        const auto result = co_await hand_over_store_.change(std::move(change));
+        if (!result) {
+            base::log_event(events::store_call_failed,
+                            {{"call", "hand back duty"}, {"reason", result.last_reason().to_string()}});
+        }
+    }
+
+private:
+    struct own_keys {
+        std::map<std::string, daemons::registration> registrations_;
+        std::vector<daemons::takeover_record> records_;
+        /// The entry of the duty, read as the registration of its holder.
+        std::optional<daemons::registration> duty_;
+        std::string duty_holder_;
+    };
+
+    /// Returns whether the daemon is registered and need not read again at once.
+    boost::asio::awaitable<base::result<bool>> read_once() {
+        const auto asked_at = base::clock::now();
+        own_keys keys;
+        auto failure = co_await read_keys(keys);
+        if (failure) {
+            co_return std::move(*failure);
+        }
+        for (const auto& record : keys.records_) {
+            control_.adopt(record);
+        }
+        const auto own = find_own(keys);
+        control_.knowledge_.set_registrations(std::move(keys.registrations_));
+        control_.publish();
+        if (!own || (*own)->run_ != control_.run_ || (*own)->is_marked_) {
+            co_return co_await register_daemon(own ? (*own)->revision_ : 0);
+        }
+        if (!control_.registered_at_) {
+            control_.registered_at_ = asked_at;
+        }
+        control_.evidence_.note_store_read(asked_at);
+        control_.publish_evidence();
+        co_await look_after_duty(keys.duty_, keys.duty_holder_, asked_at);
+        co_return true;
+    }
+
+    boost::asio::awaitable<std::optional<base::error>> read_keys(own_keys& keys) {
+        std::string after;
+        for (;;) {
+            auto page = co_await store_.list(std::string{fleet_keys::prefix}, after);
+            if (!page) {
+                co_return page.last_reason();
+            }
+            for (const auto& item : page->items_) {
+                take_item(item, keys);
+                after = item.key_;
+            }
+            if (!page->has_more_ || page->items_.empty()) {
+                co_return std::nullopt;
+            }
+        }
+    }
+
+    static void take_item(const platform::store_item& item, own_keys& keys) {
+        const std::string_view key{item.key_};
+        if (key.starts_with(fleet_keys::daemons)) {
+            const auto address = key.substr(fleet_keys::daemons.size());
+            if (auto entry = daemons::decode_registration(address, item.value_, item.revision_)) {
+                keys.registrations_.emplace(address, std::move(*entry));
+            }
+        } else if (key.starts_with(fleet_keys::takeovers)) {
+            const auto service = key.substr(fleet_keys::takeovers.size());
+            if (auto record = daemons::decode_record(service, item.value_, item.revision_)) {
+                keys.records_.push_back(std::move(*record));
+            }
+        } else if (key == fleet_keys::duty) {
+            const auto blank = item.value_.find(' ');
+            keys.duty_holder_ = item.value_.substr(0, blank);
+            const auto rest = blank == std::string::npos ? std::string{} : item.value_.substr(blank + 1);
+            keys.duty_ = daemons::decode_registration(keys.duty_holder_, rest, item.revision_);
+        }
+    }
+
+    [[nodiscard]] std::optional<daemons::registration> find_own(const own_keys& keys) const {
+        const auto found = keys.registrations_.find(control_.address_);
+        return found == keys.registrations_.end() ? std::nullopt : std::optional{found->second};
+    }
+
+    /// Writes this daemon's entry. Primaries may be used only after a read that shows it.
+    boost::asio::awaitable<base::result<bool>> register_daemon(std::uint64_t present_revision) {
+        control_.evidence_.clear();
+        control_.publish_evidence();
+        const daemons::registration entry{daemons::registration_fields{
+            control_.address_, control_.run_, false, 0}};
+        platform::store_transaction change;
+        change.expected_.push_back({fleet_keys::daemon(control_.address_), present_revision});
+        change.puts_.push_back({fleet_keys::daemon(control_.address_), daemons::encode_registration(entry), 0});
+        const auto result = co_await store_.change(std::move(change));
+        if (!result) {
+            co_return result.last_reason();
+        }
+        base::log_event(events::registration_changed,
+                        {{"daemon", control_.address_}, {"state", "registered"}});
+        co_return false;
+    }
+
+    boost::asio::awaitable<void> look_after_duty(const std::optional<daemons::registration>& duty,
+                                                 const std::string& holder,
+                                                 base::clock::time_point asked_at) {
+        const bool is_own = duty && holder == control_.address_ && (*duty)->run_ == control_.run_;
+        if (is_own && control_.duty_ && control_.duty_->token_ == (*duty)->revision_) {
+            control_.duty_->verified_at_ = asked_at;
+            absent_polls_ = 0;
+            co_return;
+        }
+        if (control_.duty_) {
+            lose_duty("another revision of its key is in the store");
+        }
+        // A process that started on the address of the holder replaces it: the earlier one has ended.
+        const bool is_free = !duty || holder == control_.address_;
+        if (!is_free || control_.is_draining_) {
+            absent_polls_ = 0;
+            co_return;
+        }
+        const bool is_turn = absent_polls_ >= rank() || holder == control_.address_;
+        ++absent_polls_;
+        if (is_turn) {
+            co_await take_duty(duty ? (*duty)->revision_ : 0);
+        }
+    }
+
+    /// Spreads the attempts of the daemons over several polls.
+    [[nodiscard]] std::uint32_t rank() const {
+        const auto& all = control_.knowledge_.registrations();
+        const auto own = all.find(control_.address_);
+        return static_cast<std::uint32_t>(std::min<std::ptrdiff_t>(std::distance(all.begin(), own), 4));
+    }
+
+    boost::asio::awaitable<void> take_duty(std::uint64_t present_revision) {
+        const auto lease = co_await duty_store_.grant_lease(lease_length);
+        if (!lease) {
+            co_return;
+        }
+        const daemons::registration entry{daemons::registration_fields{
+            control_.address_, control_.run_, false, 0}};
+        platform::store_transaction change;
+        change.expected_.push_back({std::string{fleet_keys::duty}, present_revision});
+        change.puts_.push_back({std::string{fleet_keys::duty},
+                                control_.address_ + " " + daemons::encode_registration(entry), *lease});
+        const auto asked_at = base::clock::now();
+        const auto result = co_await duty_store_.change(std::move(change));
+        if (!result || !result->applied_) {
+            co_return;
+        }
+        control_.duty_ = held_duty{result->revision_, *lease, asked_at, base::clock::now()};
+        base::log_event(events::duty_changed,
+                        {{"held", "yes"}, {"token", std::to_string(result->revision_)}});
+    }
+
+    void lose_duty(const std::string& reason) {
+        control_.duty_.reset();
+        base::log_event(events::duty_changed, {{"held", "no"}, {"reason", reason}});
+    }
+
+    static constexpr base::clock::duration call_timeout{700};
+    // A fifth of the life of evidence, so that a lost call or two cost nothing.
+    static constexpr base::clock::duration period{800};
+    static constexpr base::clock::duration renewal_period{1'000};
+    // After a holder dies, the duty is free this long afterwards.
+    static constexpr base::clock::duration lease_length{3'000};
+
+    control_context<Platform>& control_;
+    typename Platform::store store_;
+    // One for each kind of call that may be under way beside another.
+    typename Platform::store renewal_store_;
+    typename Platform::store duty_store_;
+    typename Platform::store hand_over_store_;
+    std::uint32_t absent_polls_ = 0;
+};
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/fleet_view.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <backends/service_view.hpp>
+#include <base/immutable.hpp>
+
+#include <compare>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace proxy {
+
+/// What a daemon knows of all services' databases.
+struct fleet_view_fields {
+    std::map<std::string, backends::service_view, std::less<>> services_;
+
+    friend auto operator<=>(const fleet_view_fields&, const fleet_view_fields&) = default;
+    friend bool operator==(const fleet_view_fields&, const fleet_view_fields&) = default;
+};
+
+using fleet_view = base::immutable<fleet_view_fields>;
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/group_table.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <backends/primary_health.hpp>
+#include <backends/service_group.hpp>
+#include <proxy/session_shared.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace proxy {
+
+/// The groups of the services that one request thread owns. Thread safety: used by that thread only, except
+/// for `executor`.
+template <backends::database_protocol Protocol>
+class group_table {
+public:
+    using group = backends::service_group<Protocol>;
+
+    group_table(boost::asio::any_io_executor executor, session_shared& shared)
+        : executor_{std::move(executor)}, shared_{shared} {}
+
+    [[nodiscard]] const boost::asio::any_io_executor& executor() const noexcept { return executor_; }
+
+    /// Returns the group of a service, which is made on first use.
+    [[nodiscard]] std::shared_ptr<group> find_or_make(const std::string& service) {
+        auto& found = groups_[service];
+        if (!found) {
+            found = std::make_shared<group>(executor_, shared_.failure_domain_, shared_.authority_);
+            apply_view(service, *found);
+        }
+        return found;
+    }
+
+    /// Takes over the present view of the fleet.
+    void refresh() {
+        for (auto& [service, one] : groups_) {
+            apply_view(service, *one);
+        }
+    }
+
+    /// Gives up what has waited too long. Returns whether statements still wait.
+    bool sweep() {
+        bool is_busy = false;
+        for (auto& [service, one] : groups_) {
+            one->sweep();
+            is_busy = is_busy || one->waiting() > 0;
+        }
+        return is_busy;
+    }
+
+    /// Returns what the groups see of their primaries.
+    [[nodiscard]] std::vector<backends::primary_health> healths() const {
+        std::vector<backends::primary_health> reports;
+        for (const auto& [service, one] : groups_) {
+            reports.push_back(one->health());
+        }
+        return reports;
+    }
+
+private:
+    void apply_view(const std::string& service, group& one) {
+        const auto view = shared_.fleet_.read([&service](const fleet_view& fleet) {
+            const auto found = fleet->services_.find(service);
+            return found == fleet->services_.end() ? std::nullopt : std::optional{found->second};
+        });
+        if (view) {
+            one.apply(*view);
+        }
+    }
+
+    boost::asio::any_io_executor executor_;
+    session_shared& shared_;
+    std::map<std::string, std::shared_ptr<group>> groups_;
+};
+
+/// All group tables of a daemon. Thread safety: filled before the threads start, then immutable.
+template <backends::database_protocol Protocol>
+class group_tables {
+public:
+    using table = group_table<Protocol>;
+
+    void add(table& one) { tables_.push_back(&one); }
+
+    /// Returns the table that owns a service.
+    [[nodiscard]] table& owner_of(const std::string& service) const {
+        return *tables_[std::hash<std::string>{}(service) % tables_.size()];
+    }
+
+    [[nodiscard]] const std::vector<table*>& all() const noexcept { return tables_; }
+
+private:
+    std::vector<table*> tables_;
+};
+
+/// What sessions of one thread need to find the groups, see `group_directory`.
+template <backends::database_protocol Protocol>
+class service_directory {
+public:
+    service_directory(group_table<Protocol>& own, const group_tables<Protocol>& all) : own_{own}, all_{all} {}
+
+    /// Precondition: called on the thread that owns the service.
+    [[nodiscard]] std::shared_ptr<backends::service_group<Protocol>> group_of(const std::string& service) {
+        return all_.owner_of(service).find_or_make(service);
+    }
+    [[nodiscard]] const boost::asio::any_io_executor& executor_of(const std::string& service) const {
+        return all_.owner_of(service).executor();
+    }
+    [[nodiscard]] bool is_owned_here(const std::string& service) const {
+        return &all_.owner_of(service) == &own_;
+    }
+
+private:
+    group_table<Protocol>& own_;
+    const group_tables<Protocol>& all_;
+};
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/peer_talk.hpp
@@ -0,0 +1,333 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/endpoint.hpp>
+#include <base/event.hpp>
+#include <daemons/fleet_message.hpp>
+#include <daemons/message_codec.hpp>
+#include <daemons/udp_transport.hpp>
+#include <http/sleep.hpp>
+#include <http/wait_signal.hpp>
+#include <proxy/control_context.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace proxy {
+
+/// Questions and answers between session daemons, over datagrams: evidence, the sight of primaries, and the
+/// request to stop using one. Everything may be lost and is asked again. Thread safety: control thread.
+template <typename Platform>
+class peer_talk {
+public:
+    peer_talk(control_context<Platform>& control, daemons::udp_transport transport)
+        : control_{control}, transport_{std::move(transport)} {}
+
+    /// Answers and takes in what peers send until the process ends.
+    [[nodiscard]] boost::asio::awaitable<void> receive() {
+        for (;;) {
+            const auto bytes = co_await transport_.receive();
+            if (!bytes) {
+                co_await http::sleep_for(receive_retry_pause);
+                continue;
+            }
+            auto message = daemons::decode_message<daemons::fleet_message>(*bytes);
+            if (message) {
+                handle(std::move(*message));
+            }
+        }
+    }
+
+    /// Asks the peers as often as the present state needs it, until the process ends.
+    [[nodiscard]] boost::asio::awaitable<void> ask() {
+        for (;;) {
+            const auto now = base::clock::now();
+            if (now >= next_question_) {
+                ask_all(now);
+            }
+            if (needs_evidence(now) || is_suspecting_) {
+                co_await http::sleep_for(hasty_period);
+            } else {
+                co_await http::sleep_for(calm_period);
+            }
+        }
+    }
+
+    /// Sends one question to every registered peer.
+    void ask_all(base::clock::time_point now) {
+        auto question = make_message(daemons::fleet_message_kind::question);
+        round_ = question_round{question.number_, now, {}, peers()};
+        question.primaries_ = sights(now);
+        send_to_all(question);
+        const bool is_urgent = needs_evidence(now) || is_suspecting_;
+        next_question_ = now + (is_urgent ? hasty_period : liveness_period);
+    }
+
+    /// Makes questions more frequent while a primary is suspected.
+    void set_suspecting(bool is_suspecting) noexcept { is_suspecting_ = is_suspecting; }
+
+    /// Asks all peers to stop using a replaced primary. Repeated by the caller until `stopped` is complete.
+    void ask_to_stop(const daemons::takeover_record& record, base::clock::duration grace) {
+        auto request = make_message(daemons::fleet_message_kind::stop_request);
+        request.records_.push_back(record);
+        request.grace_ = grace;
+        send_to_all(request);
+    }
+
+    /// Returns the registered peers that have not answered a stop request for a record.
+    [[nodiscard]] std::vector<std::string> not_stopped(const daemons::takeover_record& record) const {
+        std::vector<std::string> missing;
+        const auto found = stopped_.find(record->service_);
+        for (const auto& address : peers()) {
+            const bool has_answered = found != stopped_.end() &&
+                                      found->second.revision_ >= record->revision_ &&
+                                      found->second.daemons_.contains(address);
+            if (!has_answered) {
+                missing.push_back(address);
+            }
+        }
+        return missing;
+    }
+
+    /// Tells all peers a new state of a record.
+    void tell(const daemons::takeover_record& record) {
+        auto notice = make_message(daemons::fleet_message_kind::notice);
+        notice.records_.push_back(record);
+        send_to_all(notice);
+    }
+
+    /// Tells all peers that the primary of a service does not answer here.
+    void tell_suspicion(const std::string& service, const std::string& database) {
+        auto message = make_message(daemons::fleet_message_kind::suspicion);
+        message.primaries_.push_back(daemons::sighted_primary{
+            daemons::sighted_primary_fields{service, database, daemons::primary_sight::fails}});
+        send_to_all(message);
+    }
+
+    /// Counts the peers that have lately seen a primary in one way.
+    [[nodiscard]] std::uint32_t count_sights(const std::string& service, const std::string& database,
+                                             daemons::primary_sight wanted) const {
+        const auto now = base::clock::now();
+        std::uint32_t count = 0;
+        for (const auto& [address, seen] : sights_of_peers_) {
+            const auto found = seen.find(service);
+            const bool is_recent = found != seen.end() && now - found->second.at_ <= recent_sight;
+            if (is_recent && found->second.primary_->database_ == database &&
+                found->second.primary_->sight_ == wanted) {
+                ++count;
+            }
+        }
+        return count;
+    }
+
+    /// Returns when a daemon was last heard, or nothing.
+    [[nodiscard]] std::optional<base::clock::time_point> last_heard(const std::string& address) const {
+        const auto found = heard_.find(address);
+        return found == heard_.end() ? std::nullopt : std::optional{found->second};
+    }
+
+private:
+    struct question_round {
+        std::uint64_t number_ = 0;
+        base::clock::time_point asked_at_{};
+        std::set<std::string> answered_;
+        /// The registered daemons when the questions were sent; a round counts only if they are the same.
+        std::vector<std::string> asked_;
+    };
+    struct dated_sight {
+        daemons::sighted_primary primary_;
+        base::clock::time_point at_{};
+    };
+    struct stop_answers {
+        std::uint64_t revision_ = 0;
+        std::set<std::string> daemons_;
+    };
+
+    [[nodiscard]] std::vector<std::string> peers() const {
+        std::vector<std::string> addresses;
+        for (const auto& [address, entry] : control_.knowledge_.registrations()) {
+            if (address != control_.address_) {
+                addresses.push_back(address);
+            }
+        }
+        return addresses;
+    }
+
+    [[nodiscard]] bool needs_evidence(base::clock::time_point now) const {
+        const auto age = control_.evidence_.store_age(now);
+        return control_.registered_at_ && (!age || *age > old_evidence);
+    }
+
+    daemons::fleet_message_fields make_message(daemons::fleet_message_kind kind) {
+        daemons::fleet_message_fields message;
+        message.kind_ = kind;
+        message.number_ = ++last_number_;
+        message.sender_ = control_.address_;
+        message.run_ = control_.run_;
+        return message;
+    }
+
+    [[nodiscard]] std::vector<daemons::sighted_primary> sights(base::clock::time_point now) const {
+        std::vector<daemons::sighted_primary> all;
+        for (const auto& [service, view] : control_.shared_.fleet_.get()->operator->()->services_) {
+            if (!view->primary_.empty()) {
+                const auto sight = control_.sight_of(service, view->primary_, now);
+                all.push_back(daemons::sighted_primary{
+                    daemons::sighted_primary_fields{service, view->primary_, sight}});
+            }
+        }
+        return all;
+    }
+
+    void send_to_all(const daemons::fleet_message_fields& message) {
+        const auto bytes = daemons::encode_message(daemons::fleet_message{message});
+        for (const auto& address : peers()) {
+            send(address, bytes);
+        }
+    }
+
+    void send(const std::string& address, const std::string& bytes) {
+        if (const auto to = base::endpoint::parse(address)) {
+            transport_.send(*to, bytes);
+        }
+    }
+
+    void handle(daemons::fleet_message message) {
+        const auto now = base::clock::now();
+        heard_.insert_or_assign(message->sender_, now);
+        for (const auto& record : message->records_) {
+            control_.adopt(record);
+        }
+        note_sights(*message, now);
+        switch (message->kind_) {
+        case daemons::fleet_message_kind::question:
+            boost::asio::co_spawn(control_.context_, answer(std::move(message)), boost::asio::detached);
+            break;
+        case daemons::fleet_message_kind::answer:
+            take_answer(*message, now);
+            break;
+        case daemons::fleet_message_kind::stop_request:
+            boost::asio::co_spawn(control_.context_, stop(std::move(message)), boost::asio::detached);
+            break;
+        case daemons::fleet_message_kind::stop_answer:
+            for (const auto& record : message->records_) {
+                note_stopped(*record, message->sender_);
+            }
+            break;
+        case daemons::fleet_message_kind::suspicion:
+        case daemons::fleet_message_kind::notice:
+            break;
+        }
+    }
+
+    void note_sights(const daemons::fleet_message_fields& message, base::clock::time_point now) {
+        for (const auto& seen : message.primaries_) {
+            sights_of_peers_[message.sender_].insert_or_assign(seen->service_, dated_sight{seen, now});
+            const auto own = control_.sight_of(seen->service_, seen->database_, now);
+            if (seen->sight_ == daemons::primary_sight::fails && own == daemons::primary_sight::unknown) {
+                // A second opinion for the peer that finds it failing.
+                control_.probe_primary(seen->service_);
+            }
+        }
+    }
+
+    boost::asio::awaitable<void> answer(daemons::fleet_message question) {
+        co_await control_.collect_healths();
+        const auto now = base::clock::now();
+        auto reply = make_message(daemons::fleet_message_kind::answer);
+        reply.number_ = question->number_;
+        reply.evidence_age_ = control_.evidence_.store_age(now);
+        reply.known_run_ = known_run(question->sender_);
+        reply.records_ = control_.knowledge_.records();
+        reply.begun_.assign(control_.begun_.begin(), control_.begun_.end());
+        reply.primaries_ = sights(now);
+        send(question->sender_, daemons::encode_message(daemons::fleet_message{std::move(reply)}));
+    }
+
+    [[nodiscard]] std::uint64_t known_run(const std::string& address) const {
+        const auto& all = control_.knowledge_.registrations();
+        const auto found = all.find(address);
+        return found == all.end() || found->second->is_marked_ ? 0 : found->second->run_;
+    }
+
+    void take_answer(const daemons::fleet_message_fields& reply, base::clock::time_point now) {
+        const bool is_current = reply.number_ == round_.number_ && control_.registered_at_;
+        if (!is_current || reply.known_run_ != control_.run_) {
+            return;
+        }
+        // The records came first, so the evidence covers what this daemon now knows.
+        if (reply.evidence_age_) {
+            control_.evidence_.note_peer(round_.asked_at_, *reply.evidence_age_);
+        }
+        if (reply.begun_.empty()) {
+            round_.answered_.insert(reply.sender_);
+        }
+        const bool is_complete = round_.answered_.size() == round_.asked_.size() && control_.begun_.empty() &&
+                                 peers() == round_.asked_;
+        if (is_complete) {
+            control_.evidence_.note_round(round_.asked_at_);
+        }
+        if (now < control_.evidence_.until()) {
+            control_.publish_evidence();
+        }
+    }
+
+    /// Stops using a primary and says so. Repeated requests are answered again.
+    boost::asio::awaitable<void> stop(daemons::fleet_message request) {
+        for (const auto& record : request->records_) {
+            const auto known = control_.knowledge_.record_of(record->service_);
+            if (known && (*known)->revision_ > record->revision_) {
+                continue;
+            }
+            if (own_stops_[record->service_] < record->revision_) {
+                co_await control_.stop_using(record->service_, record->replaced_, request->grace_);
+                own_stops_[record->service_] = record->revision_;
+            }
+            auto reply = make_message(daemons::fleet_message_kind::stop_answer);
+            reply.records_.push_back(record);
+            send(request->sender_, daemons::encode_message(daemons::fleet_message{std::move(reply)}));
+        }
+    }
+
+    void note_stopped(const daemons::takeover_record_fields& record, const std::string& daemon) {
+        auto& answers = stopped_[record.service_];
+        if (answers.revision_ < record.revision_) {
+            answers = stop_answers{record.revision_, {}};
+        }
+        if (answers.revision_ == record.revision_) {
+            answers.daemons_.insert(daemon);
+        }
+    }
+
+    static constexpr base::clock::duration receive_retry_pause{20};
+    // Two periods of the poll: a peer is asked only when the store has not answered for a while.
+    static constexpr base::clock::duration old_evidence{1'700};
+    static constexpr base::clock::duration hasty_period{150};
+    static constexpr base::clock::duration calm_period{250};
+    // Tells the holder of the duty which daemons are alive.
+    static constexpr base::clock::duration liveness_period{2'000};
+    static constexpr base::clock::duration recent_sight{600};
+
+    control_context<Platform>& control_;
+    daemons::udp_transport transport_;
+    question_round round_;
+    std::map<std::string, std::map<std::string, dated_sight>> sights_of_peers_;
+    std::map<std::string, base::clock::time_point> heard_;
+    std::map<std::string, stop_answers> stopped_;
+    /// Revision of the last record for which this daemon has stopped, by service.
+    std::map<std::string, std::uint64_t> own_stops_;
+    base::clock::time_point next_question_{};
+    std::uint64_t last_number_ = 0;
+    bool is_suspecting_ = false;
+};
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/session_daemon.hpp
@@ -0,0 +1,297 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/event.hpp>
+#include <http/listener.hpp>
+#include <http/server.hpp>
+#include <http/sleep.hpp>
+#include <proxy/control_context.hpp>
+#include <proxy/fleet_poll.hpp>
+#include <proxy/peer_talk.hpp>
+#include <proxy/session_metrics.hpp>
+#include <proxy/session_worker.hpp>
+#include <proxy/store_watchers.hpp>
+#include <proxy/takeover_runner.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace proxy {
+
+/// What a daemon speaks with the platform: its line protocol, store, promotion orders and store entries.
+template <typename Platform>
+concept session_platform = backends::database_protocol<typename Platform::protocol> &&
+    platform::fleet_store<typename Platform::store> &&
+    backends::primary_promoter<typename Platform::promoter> &&
+    requires(std::string_view text) {
+        Platform::entries::read_configuration(text);
+        Platform::entries::read_database(text, text);
+    };
+
+/// One daemon that serves client sessions: request threads and the control thread.
+/// Thread safety: `run` is called once, by the main thread, which becomes the control thread.
+template <session_platform Platform>
+class session_daemon {
+public:
+    session_daemon(operators::session_settings settings, std::string settings_path)
+        : settings_path_{std::move(settings_path)}, shared_{settings->failure_domain_},
+          control_{context_, std::move(settings), shared_, groups_, draw_run()}, watchers_{control_},
+          poll_{control_}, signals_{context_, SIGTERM, SIGINT, SIGHUP} {}
+
+    /// Serves until the daemon is told to stop. Errors: `settings_invalid` when an address cannot be used.
+    [[nodiscard]] std::optional<base::error> run() {
+        const auto& settings = control_.settings_;
+        for (std::uint32_t index = 0; index < settings->threads_; ++index) {
+            workers_.push_back(std::make_unique<worker>(shared_, groups_));
+        }
+        for (const auto& one : workers_) {
+            if (auto failure = one->listen(settings->client_address_)) {
+                return failure;
+            }
+        }
+        auto transport = daemons::udp_transport::open(context_.get_executor(), settings->peer_address_);
+        if (!transport) {
+            return transport.last_reason();
+        }
+        peers_.emplace(control_, std::move(*transport));
+        takeovers_.emplace(control_, *peers_);
+        if (auto failure = start_servers()) {
+            return failure;
+        }
+        base::log_event(events::session_daemon_started,
+                        {{"name", settings->name_},
+                         {"clients", settings->client_address_.to_string()},
+                         {"peers", settings->peer_address_.to_string()},
+                         {"threads", std::to_string(settings->threads_)}});
+        start_control();
+        std::vector<std::thread> threads;
+        for (const auto& one : workers_) {
+            one->start();
+            threads.emplace_back([worker = one.get()] { worker->context().run(); });
+        }
+        context_.run();
+        for (const auto& one : workers_) {
+            one->context().stop();
+        }
+        for (auto& thread : threads) {
+            thread.join();
+        }
+        return std::nullopt;
+    }
+
+private:
+    using worker = session_worker<typename Platform::protocol>;
+
+    /// Answers the platform's question whether the daemon takes new connections.
+    struct readiness_handler {
+        session_daemon* daemon_;
+        boost::asio::awaitable<http::response> operator()(http::request /*message*/,
+                                                          std::size_t /*connection*/) const {
+            constexpr unsigned ready = 200;
+            constexpr unsigned not_ready = 503;
+            http::response_fields answer;
+            answer.status_ = daemon_->is_ready() ? ready : not_ready;
+            co_return http::response{std::move(answer)};
+        }
+    };
+
+    struct metrics_handler {
+        session_daemon* daemon_;
+        boost::asio::awaitable<http::response> operator()(http::request /*message*/,
+                                                          std::size_t /*connection*/) const {
+            http::response_fields answer;
+            answer.headers_ = {{"Content-Type", "text/plain; version=0.0.4"}};
+            answer.body_ = session_metrics_text(daemon_->shared_, base::clock::now());
+            co_return http::response{std::move(answer)};
+        }
+    };
+
+    static std::uint64_t draw_run() {
+        std::random_device random;
+        return (std::uint64_t{random()} << 32U) | random();
+    }
+
+    [[nodiscard]] std::optional<base::error> start_servers() {
+        const auto& settings = control_.settings_;
+        const http::limits bounds{};
+        auto readiness = http::listener::open(context_.get_executor(), settings->readiness_address_);
+        if (!readiness) {
+            return readiness.last_reason();
+        }
+        auto metrics = http::listener::open(context_.get_executor(), settings->metrics_address_);
+        if (!metrics) {
+            return metrics.last_reason();
+        }
+        std::make_shared<http::server<readiness_handler>>(context_.get_executor(), std::move(*readiness),
+                                                          readiness_handler{this}, bounds, nullptr,
+                                                          most_operator_connections)
+            ->start();
+        std::make_shared<http::server<metrics_handler>>(context_.get_executor(), std::move(*metrics),
+                                                        metrics_handler{this}, bounds, nullptr,
+                                                        most_operator_connections)
+            ->start();
+        return std::nullopt;
+    }
+
+    void start_control() {
+        const auto spawn = [this](boost::asio::awaitable<void> work) {
+            boost::asio::co_spawn(context_, std::move(work), boost::asio::detached);
+        };
+        spawn(watchers_.follow_configuration());
+        spawn(watchers_.follow_databases());
+        spawn(poll_.poll());
+        spawn(poll_.keep_duty());
+        spawn(peers_->receive());
+        spawn(peers_->ask());
+        spawn(takeovers_->watch());
+        spawn(follow_signals());
+        spawn(follow_settings());
+    }
+
+    /// A daemon is ready once it can serve any route: it has a configuration, databases and evidence.
+    [[nodiscard]] bool is_ready() {
+        const auto now = base::clock::now();
+        const bool has_routes =
+            shared_.routes_.read([](const auto& routes) { return routes->version_ > 0; });
+        const bool has_evidence = now < shared_.authority_.until() + evidence_slack;
+        const bool ready = has_routes && control_.has_databases_ && has_evidence && !control_.is_draining_;
+        if (ready != was_ready_) {
+            was_ready_ = ready;
+            base::log_event(events::readiness_changed, {{"ready", ready ? "yes" : "no"},
+                                                        {"configuration", has_routes ? "yes" : "no"},
+                                                        {"evidence", has_evidence ? "yes" : "no"},
+                                                        {"draining", control_.is_draining_ ? "yes" : "no"}});
+        }
+        return ready;
+    }
+
+    boost::asio::awaitable<void> follow_signals() {
+        for (;;) {
+            const auto number = co_await signals_.async_wait(boost::asio::use_awaitable);
+            if (number == SIGHUP) {
+                reload_settings();
+                continue;
+            }
+            if (!control_.is_draining_) {
+                control_.is_draining_ = true;
+                boost::asio::co_spawn(context_, stop(), boost::asio::detached);
+            }
+        }
+    }
+
+    /// Looks for a settings file that changed without a signal.
+    boost::asio::awaitable<void> follow_settings() {
+        for (;;) {
+            co_await http::sleep_for(settings_period);
+            reload_settings();
+        }
+    }
+
+    /// Takes over what may change while the daemon runs. A file with a fault changes nothing.
+    void reload_settings() {
+        const auto loaded = operators::load_session_settings(settings_path_);
+        if (!loaded.value_) {
+            if (!had_faulty_settings_) {
+                had_faulty_settings_ = true;
+                for (const auto& problem : loaded.problems_) {
+                    base::log_event(events::settings_kept, {{"problem", to_string(problem)}});
+                }
+            }
+            return;
+        }
+        had_faulty_settings_ = false;
+        if (*loaded.value_ == control_.settings_) {
+            return;
+        }
+        // Addresses and threads stay as they are until the next start.
+        control_.settings_ = control_.settings_.with([&loaded](auto& fields) {
+            fields.grace_ = (*loaded.value_)->grace_;
+            fields.log_level_ = (*loaded.value_)->log_level_;
+        });
+        base::set_log_level(control_.settings_->log_level_);
+        if (*loaded.value_ != last_loaded_) {
+            last_loaded_ = *loaded.value_;
+            base::log_event(events::settings_reloaded, {{"file", settings_path_}});
+        }
+    }
+
+    /// Ends the daemon: clients go on until the platform sends its new connections elsewhere, then their idle
+    /// sessions are closed; transactions get half of the grace period.
+    boost::asio::awaitable<void> stop() {
+        const auto started_at = base::clock::now();
+        const auto grace = control_.settings_->grace_;
+        base::log_event(events::stop_started, {{"sessions", std::to_string(open_sessions())},
+                                               {"grace_ms", std::to_string(grace.count())}});
+        while (takeovers_->is_busy() && base::clock::now() - started_at < grace / 3) {
+            co_await http::sleep_for(stop_poll);
+        }
+        co_await poll_.hand_back();
+        co_await sleep_until(started_at + std::min(balancer_delay, grace / 3));
+        set_drain_step(drain_step::closing_idle);
+        co_await wait_for_sessions(started_at + grace / 2);
+        set_drain_step(drain_step::closing_transactions);
+        co_await wait_for_sessions(started_at + grace - exit_margin);
+        base::log_event(events::stop_finished, {{"sessions", std::to_string(open_sessions())}});
+        context_.stop();
+    }
+
+    boost::asio::awaitable<void> sleep_until(base::clock::time_point moment) {
+        const auto now = base::clock::now();
+        if (now < moment) {
+            co_await http::sleep_for(moment - now);
+        }
+    }
+
+    boost::asio::awaitable<void> wait_for_sessions(base::clock::time_point end) {
+        while (open_sessions() > 0 && base::clock::now() < end) {
+            co_await http::sleep_for(stop_poll);
+        }
+    }
+
+    void set_drain_step(drain_step step) {
+        for (const auto& one : workers_) {
+            boost::asio::post(one->context(), [worker = one.get(), step] { worker->set_drain_step(step); });
+        }
+    }
+
+    [[nodiscard]] std::uint64_t open_sessions() const {
+        return shared_.counters_.sessions_open_.load(std::memory_order_relaxed);
+    }
+
+    static constexpr std::size_t most_operator_connections = 64;
+    // A daemon that lost its evidence a moment ago is likely to have it back before the platform acts.
+    static constexpr base::clock::duration evidence_slack{1'000};
+    static constexpr base::clock::duration settings_period{2'000};
+    // The platform asks once a second and acts after two misses.
+    static constexpr base::clock::duration balancer_delay{2'300};
+    static constexpr base::clock::duration stop_poll{20};
+    static constexpr base::clock::duration exit_margin{400};
+
+    std::string settings_path_;
+    boost::asio::io_context context_{1};
+    session_shared shared_;
+    group_tables<typename Platform::protocol> groups_;
+    std::vector<std::unique_ptr<worker>> workers_;
+    control_context<Platform> control_;
+    store_watchers<Platform> watchers_;
+    fleet_poll<Platform> poll_;
+    std::optional<peer_talk<Platform>> peers_;
+    std::optional<takeover_runner<Platform>> takeovers_;
+    boost::asio::signal_set signals_;
+    operators::session_settings last_loaded_;
+    bool was_ready_ = false;
+    bool had_faulty_settings_ = false;
+};
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/session_shared.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <backends/primary_authority.hpp>
+#include <base/snapshot.hpp>
+#include <operators/session_routes.hpp>
+#include <proxy/fleet_view.hpp>
+#include <proxy/session_counters.hpp>
+
+#include <string>
+
+namespace proxy {
+
+/// What the control thread hands to the request threads. Thread safety: each part by itself.
+struct session_shared {
+    explicit session_shared(std::string failure_domain) : failure_domain_{std::move(failure_domain)} {}
+
+    base::snapshot<operators::session_routes> routes_{operators::session_routes{}};
+    base::snapshot<fleet_view> fleet_{fleet_view{}};
+    backends::primary_authority authority_;
+    session_counters counters_;
+    std::string failure_domain_;
+};
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/store_watchers.hpp
@@ -0,0 +1,162 @@
+#pragma once
+
+#include <base/clock.hpp>
+#include <base/event.hpp>
+#include <http/sleep.hpp>
+#include <proxy/control_context.hpp>
+#include <proxy/retry_pause.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace proxy {
+
+/// Keeps the configuration and the server list current: reads, then watches for changes, and reads again
+/// after anything that a watch may have missed. Thread safety: control thread.
+template <typename Platform>
+class store_watchers {
+public:
+    using entries = typename Platform::entries;
+
+    explicit store_watchers(control_context<Platform>& control)
+        : control_{control}, configuration_store_{control.settings_->store_address_, call_timeout},
+          database_store_{control.settings_->store_address_, call_timeout} {}
+
+    /// Follows the operators' configuration until the process ends.
+    [[nodiscard]] boost::asio::awaitable<void> follow_configuration() {
+        retry_pause pause{"configuration"};
+        for (;;) {
+            auto item = co_await configuration_store_.get(std::string{entries::configuration_key});
+            if (!item && item.last_reason().kind() != base::error_kind::not_found) {
+                co_await http::sleep_for(pause.after_failure(item.last_reason()));
+                continue;
+            }
+            pause.after_success();
+            std::uint64_t revision = 0;
+            if (item) {
+                revision = item->revision_;
+                accept_configuration(item->value_);
+            } else {
+                co_await http::sleep_for(first_configuration_poll);
+                continue;
+            }
+            co_await watch_configuration(revision);
+        }
+    }
+
+    /// Follows the server list until the process ends.
+    [[nodiscard]] boost::asio::awaitable<void> follow_databases() {
+        retry_pause pause{"databases"};
+        for (;;) {
+            std::vector<backends::database_listing> listed;
+            auto at = co_await list_databases(listed);
+            if (!at) {
+                co_await http::sleep_for(pause.after_failure(at.last_reason()));
+                continue;
+            }
+            pause.after_success();
+            control_.knowledge_.set_databases(listed, base::clock::now());
+            control_.has_databases_ = true;
+            control_.publish();
+            co_await watch_databases(*at);
+        }
+    }
+
+private:
+    boost::asio::awaitable<void> watch_configuration(std::uint64_t revision) {
+        for (;;) {
+            auto changes = co_await configuration_store_.watch(std::string{entries::configuration_key},
+                                                               revision, watch_wait);
+            if (!changes) {
+                co_return;
+            }
+            revision = std::max(revision, changes->at_);
+            for (const auto& event : changes->events_) {
+                if (event.value_) {
+                    accept_configuration(*event.value_);
+                }
+            }
+        }
+    }
+
+    void accept_configuration(const std::string& value) {
+        auto routes = entries::read_configuration(value);
+        if (!routes) {
+            base::log_event(events::configuration_unreadable, {{"reason", routes.last_reason().to_string()}});
+            return;
+        }
+        const auto present = control_.shared_.routes_.get();
+        if ((*routes)->version_ <= (*present)->version_) {
+            return;
+        }
+        base::log_event(events::routes_changed,
+                        {{"version", std::to_string((*routes)->version_)},
+                         {"before", std::to_string((*present)->version_)},
+                         {"routes", std::to_string((*routes)->routes_.size())}});
+        control_.shared_.routes_.publish(std::move(*routes));
+        control_.publish();
+    }
+
+    boost::asio::awaitable<base::result<std::uint64_t>>
+    list_databases(std::vector<backends::database_listing>& listed) {
+        std::string after;
+        std::uint64_t at = 0;
+        for (;;) {
+            auto page = co_await database_store_.list(std::string{entries::databases_prefix}, after);
+            if (!page) {
+                co_return page.last_reason();
+            }
+            // Pages are no snapshot: changes since the first one come again through the watch.
+            at = at == 0 ? page->at_ : at;
+            for (const auto& item : page->items_) {
+                if (auto database = entries::read_database(item.key_, item.value_)) {
+                    listed.push_back(std::move(*database));
+                }
+                after = item.key_;
+            }
+            if (!page->has_more_ || page->items_.empty()) {
+                co_return at;
+            }
+        }
+    }
+
+    boost::asio::awaitable<void> watch_databases(std::uint64_t revision) {
+        for (;;) {
+            auto changes = co_await database_store_.watch(std::string{entries::databases_prefix}, revision,
+                                                          watch_wait);
+            if (!changes) {
+                co_return;
+            }
+            revision = std::max(revision, changes->at_);
+            const auto now = base::clock::now();
+            for (const auto& event : changes->events_) {
+                auto database =
+                    event.value_ ? entries::read_database(event.key_, *event.value_) : std::nullopt;
+                if (database) {
+                    control_.knowledge_.note_database(std::move(*database));
+                } else {
+                    const auto id = event.key_.substr(entries::databases_prefix.size());
+                    control_.knowledge_.note_vanished(id, now);
+                }
+            }
+            control_.publish();
+        }
+    }
+
+    // The store answers in milliseconds; a call without an answer for this long gets none.
+    static constexpr base::clock::duration call_timeout{700};
+    // A watch whose connection has gone silent is given up after this and the time-out of a call, so that a
+    // change is seen within the time that the platform allows.
+    static constexpr base::clock::duration watch_wait{1'500};
+    static constexpr base::clock::duration first_configuration_poll{250};
+
+    control_context<Platform>& control_;
+    typename Platform::store configuration_store_;
+    typename Platform::store database_store_;
+};
+
+} // namespace proxy
--- /dev/null
+++ b/libraries/proxy/takeover_runner.hpp
@@ -0,0 +1,538 @@
+#pragma once
+
+#include <backends/primary_promoter.hpp>
+#include <backends/statement_connection.hpp>
+#include <base/clock.hpp>
+#include <base/event.hpp>
+#include <daemons/takeover_decision.hpp>
+#include <daemons/takeover_record.hpp>
+#include <http/sleep.hpp>
+#include <platform/store_transaction.hpp>
+#include <proxy/control_context.hpp>
+#include <proxy/fleet_keys.hpp>
+#include <proxy/peer_talk.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace proxy {
+
+/// Replaces primaries while this daemon holds the duty. Thread safety: control thread.
+template <typename Platform>
+class takeover_runner {
+public:
+    takeover_runner(control_context<Platform>& control, peer_talk<Platform>& peers)
+        : control_{control}, peers_{peers},
+          promoter_{control.settings_->promotion_address_, promote_timeout} {}
+
+    /// Watches the primaries until the process ends.
+    [[nodiscard]] boost::asio::awaitable<void> watch() {
+        for (;;) {
+            co_await control_.collect_healths();
+            const auto now = base::clock::now();
+            if (control_.knowledge_.forget_vanished(now)) {
+                control_.publish();
+            }
+            bool is_suspecting = false;
+            const auto fleet = control_.shared_.fleet_.get();
+            for (const auto& [service, view] : (*fleet)->services_) {
+                is_suspecting = look_at(service, *view, now) || is_suspecting;
+            }
+            peers_.set_suspecting(is_suspecting);
+            co_await remove_silent_daemons(now);
+            co_await http::sleep_for(is_suspecting ? hasty_period : calm_period);
+        }
+    }
+
+    /// Returns whether a takeover that this daemon began is under way.
+    [[nodiscard]] bool is_busy() const noexcept { return !control_.begun_.empty(); }
+
+private:
+    using protocol = typename Platform::protocol;
+    using connection = backends::statement_connection<protocol>;
+
+    enum class takeover_reason : std::uint8_t { planned, failed, unfinished };
+
+    /// One replacement of a primary.
+    struct takeover {
+        std::string service_;
+        std::string replaced_;
+        takeover_reason reason_ = takeover_reason::failed;
+        daemons::takeover_record record_;
+        /// When the record was known to be in the store.
+        base::clock::time_point recorded_at_{};
+    };
+
+    [[nodiscard]] bool holds_duty(base::clock::time_point now) const {
+        return control_.duty_ && now - control_.duty_->verified_at_ < duty_freshness;
+    }
+
+    /// Starts what a service needs. Returns whether its primary is suspected.
+    bool look_at(const std::string& service, const backends::service_view_fields& view,
+                 base::clock::time_point now) {
+        const auto condition = condition_of(service, view, now);
+        const auto decision = daemons::decide_takeover(condition);
+        if (decision == daemons::takeover_decision::ask_peers) {
+            probe_if_vanished(service, condition);
+            if (!control_.duty_ && condition.failing_for_) {
+                peers_.tell_suspicion(service, view.primary_);
+            }
+            return true;
+        }
+        if (decision == daemons::takeover_decision::nothing || !holds_duty(now) ||
+            control_.begun_.contains(service) || control_.is_draining_) {
+            return condition.failing_for_.has_value();
+        }
+        if (decision == daemons::takeover_decision::finish) {
+            // An order of the earlier holder may be under way for as long as it trusted its duty.
+            if (now - control_.duty_->taken_at_ < duty_freshness + promote_timeout) {
+                return false;
+            }
+        }
+        control_.begun_.insert(service);
+        takeover begun;
+        begun.service_ = service;
+        begun.replaced_ = view.primary_;
+        begun.reason_ = reason_of(decision);
+        boost::asio::co_spawn(control_.context_, replace(std::move(begun)), boost::asio::detached);
+        return true;
+    }
+
+    static takeover_reason reason_of(daemons::takeover_decision decision) {
+        switch (decision) {
+        case daemons::takeover_decision::replace_planned:
+            return takeover_reason::planned;
+        case daemons::takeover_decision::finish:
+            return takeover_reason::unfinished;
+        default:
+            return takeover_reason::failed;
+        }
+    }
+
+    [[nodiscard]] daemons::primary_condition condition_of(const std::string& service,
+                                                          const backends::service_view_fields& view,
+                                                          base::clock::time_point now) {
+        daemons::primary_condition condition;
+        if (view.primary_.empty()) {
+            return condition;
+        }
+        condition.is_being_replaced_ = view.primary_state_ == backends::primary_state::being_replaced;
+        const auto listing = control_.knowledge_.find_database(view.primary_);
+        if (listing) {
+            condition.is_draining_ = (*listing)->state_ == backends::listed_state::draining;
+            note_demotion(service, *listing, now);
+        }
+        if (const auto since = demoted_since_.find(service); since != demoted_since_.end()) {
+            condition.demoted_for_ = now - since->second;
+        }
+        const auto vanished = control_.knowledge_.vanished_since(view.primary_);
+        if (vanished || !listing) {
+            condition.vanished_for_ = vanished ? now - *vanished : base::clock::duration{0};
+        }
+        const auto health = control_.healths_.find(service);
+        if (health != control_.healths_.end() && health->second.database_ == view.primary_) {
+            condition.failing_for_ = health->second.failing_for_;
+        }
+        if (!listing) {
+            // A database that is no longer known cannot be asked.
+            condition.failing_for_ = base::clock::duration{std::chrono::seconds{60}};
+        }
+        condition.peers_ = static_cast<std::uint32_t>(control_.knowledge_.registrations().size());
+        condition.peers_ -= condition.peers_ > 0 ? 1 : 0;
+        condition.peers_reaching_ =
+            peers_.count_sights(service, view.primary_, daemons::primary_sight::answers);
+        condition.peers_failing_ =
+            peers_.count_sights(service, view.primary_, daemons::primary_sight::fails);
+        return condition;
+    }
+
+    void note_demotion(const std::string& service, const backends::database_listing& primary,
+                       base::clock::time_point now) {
+        const auto record = control_.knowledge_.record_of(service);
+        const bool is_settled = record && (*record)->phase_ == daemons::takeover_phase::settled;
+        if (is_settled && primary->role_ == backends::listed_role::replica) {
+            demoted_since_.try_emplace(service, now);
+        } else {
+            demoted_since_.erase(service);
+        }
+    }
+
+    void probe_if_vanished(const std::string& service, const daemons::primary_condition& condition) {
+        if (condition.vanished_for_ && !condition.failing_for_) {
+            control_.probe_primary(service);
+        }
+    }
+
+    /// Replaces a primary, step by step; each step is in the log.
+    boost::asio::awaitable<void> replace(takeover current) {
+        base::log_event(events::takeover_begun, {{"service", current.service_},
+                                                 {"primary", current.replaced_},
+                                                 {"reason", reason_name(current.reason_)}});
+        if (co_await open_record(current)) {
+            co_await stop_all(current);
+            co_await promote_until_settled(current);
+        }
+        control_.begun_.erase(current.service_);
+    }
+
+    static const char* reason_name(takeover_reason reason) {
+        switch (reason) {
+        case takeover_reason::planned:
+            return "draining";
+        case takeover_reason::failed:
+            return "failed";
+        case takeover_reason::unfinished:
+            return "unfinished";
+        }
+        return "";
+    }
+
+    void log_step(const takeover& current, const char* step, std::string result) {
+        base::log_event(events::takeover_step, {{"service", current.service_},
+                                                {"step", step},
+                                                {"result", std::move(result)}});
+    }
+
+    /// Makes sure that an open record is in the store.
+    boost::asio::awaitable<bool> open_record(takeover& current) {
+        const auto known = control_.knowledge_.record_of(current.service_);
+        if (known && (*known)->phase_ != daemons::takeover_phase::settled) {
+            current.record_ = *known;
+            current.replaced_ = (*known)->replaced_;
+            current.recorded_at_ = base::clock::now();
+            co_return true;
+        }
+        const bool is_written = co_await write_record(current, daemons::takeover_phase::open, {});
+        current.recorded_at_ = base::clock::now();
+        co_return is_written;
+    }
+
+    /// Writes the record under the condition that nobody else did and that the duty is still held.
+    boost::asio::awaitable<bool> write_record(takeover& current, daemons::takeover_phase phase,
+                                              std::string chosen) {
+        const auto known = control_.knowledge_.record_of(current.service_);
+        const auto before = known ? (*known)->revision_ : 0;
+        if (!control_.duty_) {
+            co_return false;
+        }
+        daemons::takeover_record_fields fields{current.service_, phase, current.replaced_, std::move(chosen), 0};
+        platform::store_transaction change;
+        change.expected_.push_back({std::string{fleet_keys::duty}, control_.duty_->token_});
+        change.expected_.push_back({fleet_keys::takeover(current.service_), before});
+        change.puts_.push_back({fleet_keys::takeover(current.service_),
+                                daemons::encode_record(daemons::takeover_record{fields}), 0});
+        // A connection of its own: several services may be replaced at the same time.
+        typename Platform::store store{control_.settings_->store_address_, store_timeout};
+        const auto result = co_await store.change(std::move(change));
+        if (!result || !result->applied_) {
+            log_step(current, "record",
+                     result ? "another change came first" : result.last_reason().to_string());
+            co_return co_await wait_for_record(current, before, fields);
+        }
+        fields.revision_ = result->revision_;
+        current.record_ = daemons::takeover_record{std::move(fields)};
+        control_.adopt(current.record_);
+        co_return true;
+    }
+
+    /// After a lost answer, waits for a poll that shows whether the record was written.
+    boost::asio::awaitable<bool> wait_for_record(takeover& current, std::uint64_t before,
+                                                 const daemons::takeover_record_fields& wanted) {
+        const auto end = base::clock::now() + lost_answer_wait;
+        while (base::clock::now() < end) {
+            co_await http::sleep_for(hasty_period);
+            const auto known = control_.knowledge_.record_of(current.service_);
+            if (known && (*known)->revision_ > before) {
+                current.record_ = *known;
+                co_return (*known)->phase_ == wanted.phase_ && (*known)->chosen_ == wanted.chosen_;
+            }
+        }
+        co_return false;
+    }
+
+    /// Makes sure that no daemon uses the replaced primary: each has answered, or the primary has stepped
+    /// down, or the evidence of those that are silent has lapsed.
+    boost::asio::awaitable<void> stop_all(const takeover& current) {
+        const auto grace = current.reason_ == takeover_reason::planned ? planned_grace : failed_grace;
+        boost::asio::co_spawn(control_.context_,
+                              control_.stop_using(current.service_, current.replaced_, grace),
+                              boost::asio::detached);
+        const daemons::evidence_limits limits;
+        auto lapse = current.recorded_at_ + limits.valid_for_ + lapse_margin;
+        if (control_.registered_at_) {
+            // Daemons that have not heard of this one may hold a round of the others as evidence.
+            lapse = std::max(lapse,
+                             *control_.registered_at_ + limits.rounds_for_ + limits.valid_for_ + lapse_margin);
+        }
+        const auto started_at = base::clock::now();
+        const auto polite_until = started_at + grace + polite_wait;
+        bool has_stepped_down = false;
+        for (;;) {
+            peers_.ask_to_stop(current.record_, grace);
+            co_await http::sleep_for(stop_period);
+            const auto missing = peers_.not_stopped(current.record_);
+            const auto now = base::clock::now();
+            if (missing.empty() && now >= started_at + grace) {
+                log_step(current, "stop", "all daemons answered");
+                break;
+            }
+            if (now >= polite_until && !has_stepped_down) {
+                has_stepped_down = co_await step_down(current);
+            }
+            if (has_stepped_down && now >= polite_until) {
+                log_step(current, "stop", "the primary stepped down");
+                break;
+            }
+            if (now >= lapse) {
+                log_step(current, "stop", "evidence lapsed for " + std::to_string(missing.size()) +
+                                              " silent daemons");
+                break;
+            }
+        }
+        if (!has_stepped_down && current.reason_ != takeover_reason::failed) {
+            co_await step_down(current);
+        }
+    }
+
+    /// Orders the replaced primary to become a replica. Returns whether it has answered that it is one.
+    boost::asio::awaitable<bool> step_down(const takeover& current) {
+        const auto listing = control_.knowledge_.find_database(current.replaced_);
+        if (!listing) {
+            co_return false;
+        }
+        auto report = co_await ask(*listing, protocol::status());
+        if (!report) {
+            co_return false;
+        }
+        if (report->role_ == backends::listed_role::primary) {
+            report = co_await ask(*listing, protocol::step_down(report->term_ + 1));
+        }
+        const bool is_replica = report && report->role_ == backends::listed_role::replica;
+        if (report) {
+            final_positions_[current.service_] = report->received_;
+        }
+        log_step(current, "step down", is_replica ? "done" : "not confirmed");
+        co_return is_replica;
+    }
+
+    /// Sends one question to a database on a connection of its own.
+    boost::asio::awaitable<std::optional<backends::database_report>> ask(backends::database_listing database,
+                                                                         std::string message) {
+        backends::open_failure failure;
+        backends::connection_times times;
+        times.open_ = ask_limit;
+        const auto opened =
+            co_await connection::open(control_.context_.get_executor(), database, times, failure);
+        if (!opened) {
+            co_return std::nullopt;
+        }
+        const auto reply = co_await opened->run(std::move(message), 1, base::clock::now() + ask_limit);
+        opened->close();
+        if (reply.status_ != backends::statement_status::done || reply.rows_.empty()) {
+            co_return std::nullopt;
+        }
+        co_return protocol::decode_report(reply.rows_.front());
+    }
+
+    struct candidate {
+        backends::database_listing database_;
+        backends::database_report report_;
+    };
+
+    /// Asks the databases of a service that may lead it, the one that received most first.
+    boost::asio::awaitable<std::vector<candidate>> find_candidates(const takeover& current) {
+        std::vector<candidate> found;
+        for (const auto& one : control_.knowledge_.databases_of(current.service_)) {
+            const bool may_lead =
+                one->id_ != current.replaced_ && one->state_ == backends::listed_state::ready;
+            if (!may_lead) {
+                continue;
+            }
+            if (const auto report = co_await ask(one, protocol::status())) {
+                found.push_back({one, *report});
+            }
+        }
+        std::stable_sort(found.begin(), found.end(), [](const candidate& left, const candidate& right) {
+            return left.report_.received_ > right.report_.received_;
+        });
+        co_return found;
+    }
+
+    /// Promotes until a database leads. Gives up only when the duty is lost.
+    boost::asio::awaitable<void> promote_until_settled(takeover& current) {
+        const auto caught_up_by = base::clock::now() + catch_up_wait;
+        std::set<std::string> refused;
+        while (holds_duty(base::clock::now())) {
+            const auto candidates = co_await find_candidates(current);
+            const auto leading = std::find_if(candidates.begin(), candidates.end(), [](const auto& one) {
+                return one.report_.role_ == backends::listed_role::primary;
+            });
+            if (leading != candidates.end()) {
+                if (co_await settle(current, leading->database_->id_)) {
+                    co_return;
+                }
+                co_await http::sleep_for(promote_poll);
+                continue;
+            }
+            const auto chosen = std::find_if(candidates.begin(), candidates.end(), [&refused](const auto& one) {
+                return !refused.contains(one.database_->id_);
+            });
+            if (chosen == candidates.end()) {
+                refused.clear();
+                co_await http::sleep_for(promote_poll);
+                continue;
+            }
+            const auto final_position = final_positions_.find(current.service_);
+            const bool is_behind = final_position != final_positions_.end() &&
+                                   chosen->report_.received_ < final_position->second;
+            if (is_behind && base::clock::now() < caught_up_by) {
+                co_await http::sleep_for(promote_poll);
+                continue;
+            }
+            if (co_await promote(current, chosen->database_) == backends::promotion_outcome::refused) {
+                refused.insert(chosen->database_->id_);
+            }
+        }
+        log_step(current, "promote", "the duty was lost");
+    }
+
+    boost::asio::awaitable<backends::promotion_outcome> promote(takeover& current,
+                                                                backends::database_listing chosen) {
+        const bool is_recorded = current.record_->phase_ == daemons::takeover_phase::promoting &&
+                                 current.record_->chosen_ == chosen->id_;
+        if (!is_recorded &&
+            !co_await write_record(current, daemons::takeover_phase::promoting, chosen->id_)) {
+            co_await http::sleep_for(promote_poll);
+            co_return backends::promotion_outcome::not_sent;
+        }
+        if (!holds_duty(base::clock::now())) {
+            co_return backends::promotion_outcome::not_sent;
+        }
+        backends::promotion_order order{current.service_, chosen->id_, control_.settings_->name_,
+                                        control_.duty_->token_};
+        const auto outcome = co_await promoter_.promote(std::move(order));
+        log_step(current, "promote", chosen->id_ + " outcome " + std::to_string(static_cast<int>(outcome)));
+        if (outcome == backends::promotion_outcome::accepted ||
+            outcome == backends::promotion_outcome::answer_lost) {
+            co_await wait_for_lead(chosen);
+        } else {
+            co_await http::sleep_for(promote_poll);
+        }
+        co_return outcome;
+    }
+
+    /// Waits until a database leads, at most for some seconds.
+    boost::asio::awaitable<void> wait_for_lead(backends::database_listing chosen) {
+        const auto end = base::clock::now() + lead_wait;
+        while (base::clock::now() < end) {
+            co_await http::sleep_for(promote_poll);
+            const auto listing = control_.knowledge_.find_database(chosen->id_);
+            if (listing && (*listing)->role_ == backends::listed_role::primary) {
+                co_return;
+            }
+            const auto report = co_await ask(chosen, protocol::status());
+            if (report && report->role_ == backends::listed_role::primary) {
+                co_return;
+            }
+        }
+    }
+
+    boost::asio::awaitable<bool> settle(takeover& current, std::string leading) {
+        if (!co_await write_record(current, daemons::takeover_phase::settled, leading)) {
+            co_return false;
+        }
+        final_positions_.erase(current.service_);
+        demoted_since_.erase(current.service_);
+        peers_.tell(current.record_);
+        base::log_event(events::takeover_settled,
+                        {{"service", current.service_},
+                         {"primary", leading},
+                         {"took_ms", std::to_string((base::clock::now() - current.recorded_at_).count())}});
+        co_return true;
+    }
+
+    /// Marks the entries of daemons that are silent, and removes them once their evidence must have lapsed.
+    boost::asio::awaitable<void> remove_silent_daemons(base::clock::time_point now) {
+        if (!holds_duty(now) || now - control_.duty_->taken_at_ < silent_before_mark ||
+            now < next_removal_) {
+            co_return;
+        }
+        next_removal_ = now + removal_period;
+        const auto registrations = control_.knowledge_.registrations();
+        for (const auto& [address, entry] : registrations) {
+            const auto heard = peers_.last_heard(address);
+            const bool is_silent = address != control_.address_ && (!heard || now - *heard > silent_before_mark);
+            if (is_silent) {
+                co_await mark_or_remove(*entry, now);
+            }
+        }
+    }
+
+    boost::asio::awaitable<void> mark_or_remove(daemons::registration_fields entry,
+                                                base::clock::time_point now) {
+        platform::store_transaction change;
+        change.expected_.push_back({std::string{fleet_keys::duty}, control_.duty_->token_});
+        change.expected_.push_back({fleet_keys::daemon(entry.address_), entry.revision_});
+        if (!entry.is_marked_) {
+            entry.is_marked_ = true;
+            change.puts_.push_back({fleet_keys::daemon(entry.address_),
+                                    daemons::encode_registration(daemons::registration{entry}), 0});
+        } else {
+            const auto [marked, is_new] = marked_at_.try_emplace(entry.revision_, now);
+            const daemons::evidence_limits limits;
+            if (is_new || now - marked->second < limits.valid_for_ + limits.rounds_for_ + lapse_margin) {
+                co_return;
+            }
+            change.removals_.push_back(fleet_keys::daemon(entry.address_));
+        }
+        typename Platform::store store{control_.settings_->store_address_, store_timeout};
+        const auto result = co_await store.change(std::move(change));
+        if (result && result->applied_) {
+            base::log_event(events::registration_changed,
+                            {{"daemon", entry.address_}, {"state", entry.is_marked_ ? "marked" : "removed"}});
+        }
+    }
+
+    static constexpr base::clock::duration calm_period{200};
+    static constexpr base::clock::duration hasty_period{60};
+    static constexpr base::clock::duration store_timeout{700};
+    static constexpr base::clock::duration promote_timeout{800};
+    // A holder orders nothing on the word of an older read of the store.
+    static constexpr base::clock::duration duty_freshness{2'000};
+    static constexpr base::clock::duration lost_answer_wait{3'000};
+    // Long enough for a transaction of a dozen statements, well below the time that a leaving database gives.
+    static constexpr base::clock::duration planned_grace{400};
+    static constexpr base::clock::duration failed_grace{0};
+    static constexpr base::clock::duration polite_wait{200};
+    static constexpr base::clock::duration stop_period{30};
+    // Covers timers that fire late.
+    static constexpr base::clock::duration lapse_margin{300};
+    static constexpr base::clock::duration ask_limit{300};
+    static constexpr base::clock::duration catch_up_wait{1'500};
+    static constexpr base::clock::duration promote_poll{60};
+    static constexpr base::clock::duration lead_wait{3'000};
+    // Several questions that went unanswered.
+    static constexpr base::clock::duration silent_before_mark{9'000};
+    static constexpr base::clock::duration removal_period{1'000};
+
+    control_context<Platform>& control_;
+    peer_talk<Platform>& peers_;
+    typename Platform::promoter promoter_;
+    std::map<std::string, base::clock::time_point> demoted_since_;
+    /// Where the log of a replaced primary ended, if it said so.
+    std::map<std::string, base::log_position> final_positions_;
+    std::map<std::uint64_t, base::clock::time_point> marked_at_;
+    base::clock::time_point next_removal_{};
+};
+
+} // namespace proxy
