Proxy: Start a connection without a conditional operator around co_await

Address sanitizer showed the double free in statement_connection::open. Ruled out: the line socket and the session's coroutine. Change: statements instead of the operator, named locals for arguments of co_await; a read that runs at the primary opens a connection to a better replica beside it.

--- a/libraries/backends/database_load.cpp
+++ b/libraries/backends/database_load.cpp
@@ -45,6 +45,11 @@
             choice.open_at_ = index;
         }
     }
+    // A connection is opened only for a database that is a better place than the one at hand.
+    if (choice.run_at_ && choice.open_at_ &&
+        !(cost_of(databases[*choice.open_at_]) < cost_of(databases[*choice.run_at_]))) {
+        choice.open_at_.reset();
+    }
     return choice;
 }
 
--- a/libraries/backends/database_load.hpp
+++ b/libraries/backends/database_load.hpp
@@ -33,7 +33,7 @@
 struct placement_choice {
     /// Index of the database with an idle connection to use; nothing while there is none.
     std::optional<std::size_t> run_at_;
-    /// Index of a database to which a connection should be opened for it.
+    /// Index of a database to which a connection should be opened, for this statement or the next ones.
     std::optional<std::size_t> open_at_;
     /// Whether no database is eligible, so that waiting for a slot does not help.
     bool has_none_ = false;
--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -304,6 +304,9 @@
         }
         auto found = candidates_for(waiting, now);
         const auto choice = choose_database(found.loads_);
+        if (choice.open_at_) {
+            start_opening(found.members_[*choice.open_at_]);
+        }
         if (choice.run_at_) {
             auto chosen = found.members_[*choice.run_at_];
             grant granted;
@@ -317,9 +320,6 @@
                 return granted;
             }
         }
-        if (choice.open_at_) {
-            start_opening(found.members_[*choice.open_at_]);
-        }
         return std::nullopt;
     }
 
@@ -398,8 +398,10 @@
                                                         member_pointer one) {
         open_failure failure;
         const auto asked_at = base::clock::now();
-        auto opened = co_await statement_connection<Protocol>::open(self->executor_, one->listing(),
-                                                                    connection_times{}, failure);
+        const connection_times times;
+        auto listing = one->listing();
+        auto opened = co_await statement_connection<Protocol>::open(self->executor_, std::move(listing),
+                                                                    times, failure);
         const auto now = base::clock::now();
         if (opened) {
             const auto& position = opened->first_position();
--- a/libraries/backends/statement_connection.hpp
+++ b/libraries/backends/statement_connection.hpp
@@ -59,8 +59,10 @@
         }
         auto line = Protocol::start_connection(database->service_, database->id_);
         socket.give_up_after(times.open_);
-        const bool is_sent = co_await socket.write(std::move(line));
-        const auto reply = is_sent ? co_await created->read_reply() : statement_reply{};
+        statement_reply reply;
+        if (co_await socket.write(std::move(line))) {
+            reply = co_await created->read_reply();
+        }
         socket.give_up_never();
         if (reply.status_ != statement_status::done || !socket.is_open()) {
             failure = {reply.status_, reply.detail_};
--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -103,7 +103,8 @@
         control_.knowledge_.set_registrations(std::move(keys.registrations_));
         control_.publish();
         if (!own || (*own)->run_ != control_.run_ || (*own)->is_marked_) {
-            co_return co_await register_daemon(own ? (*own)->revision_ : 0);
+            const auto present_revision = own ? (*own)->revision_ : 0;
+            co_return co_await register_daemon(present_revision);
         }
         if (!control_.registered_at_) {
             control_.registered_at_ = asked_at;
@@ -117,7 +118,8 @@
     boost::asio::awaitable<std::optional<base::error>> read_keys(own_keys& keys) {
         std::string after;
         for (;;) {
-            auto page = co_await store_.list(std::string{fleet_keys::prefix}, after);
+            std::string prefix{fleet_keys::prefix};
+            auto page = co_await store_.list(std::move(prefix), after);
             if (!page) {
                 co_return page.last_reason();
             }
@@ -195,7 +197,8 @@
         const bool is_turn = absent_polls_ >= rank() || holder == control_.address_;
         ++absent_polls_;
         if (is_turn) {
-            co_await take_duty(duty ? (*duty)->revision_ : 0);
+            const auto present_revision = duty ? (*duty)->revision_ : 0;
+            co_await take_duty(present_revision);
         }
     }
 
--- a/libraries/proxy/peer_talk.hpp
+++ b/libraries/proxy/peer_talk.hpp
@@ -178,7 +178,8 @@
 
     [[nodiscard]] std::vector<daemons::sighted_primary> sights(base::clock::time_point now) const {
         std::vector<daemons::sighted_primary> all;
-        for (const auto& [service, view] : control_.shared_.fleet_.get()->operator->()->services_) {
+        const auto fleet = control_.shared_.fleet_.get();
+        for (const auto& [service, view] : (*fleet)->services_) {
             if (!view->primary_.empty()) {
                 const auto sight = control_.sight_of(service, view->primary_, now);
                 all.push_back(daemons::sighted_primary{
@@ -289,7 +290,9 @@
                 continue;
             }
             if (own_stops_[record->service_] < record->revision_) {
-                co_await control_.stop_using(record->service_, record->replaced_, request->grace_);
+                auto service = record->service_;
+                auto database = record->replaced_;
+                co_await control_.stop_using(std::move(service), std::move(database), request->grace_);
                 own_stops_[record->service_] = record->revision_;
             }
             auto reply = make_message(daemons::fleet_message_kind::stop_answer);
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -30,7 +30,8 @@
     [[nodiscard]] boost::asio::awaitable<void> follow_configuration() {
         retry_pause pause{"configuration"};
         for (;;) {
-            auto item = co_await configuration_store_.get(std::string{entries::configuration_key});
+            std::string key{entries::configuration_key};
+            auto item = co_await configuration_store_.get(std::move(key));
             if (!item && item.last_reason().kind() != base::error_kind::not_found) {
                 co_await http::sleep_for(pause.after_failure(item.last_reason()));
                 continue;
@@ -69,8 +70,8 @@
 private:
     boost::asio::awaitable<void> watch_configuration(std::uint64_t revision) {
         for (;;) {
-            auto changes = co_await configuration_store_.watch(std::string{entries::configuration_key},
-                                                               revision, watch_wait);
+            std::string key{entries::configuration_key};
+            auto changes = co_await configuration_store_.watch(std::move(key), revision, watch_wait);
             if (!changes) {
                 co_return;
             }
@@ -106,7 +107,8 @@
         std::string after;
         std::uint64_t at = 0;
         for (;;) {
-            auto page = co_await database_store_.list(std::string{entries::databases_prefix}, after);
+            std::string prefix{entries::databases_prefix};
+            auto page = co_await database_store_.list(std::move(prefix), after);
             if (!page) {
                 co_return page.last_reason();
             }
@@ -126,8 +128,8 @@
 
     boost::asio::awaitable<void> watch_databases(std::uint64_t revision) {
         for (;;) {
-            auto changes = co_await database_store_.watch(std::string{entries::databases_prefix}, revision,
-                                                          watch_wait);
+            std::string prefix{entries::databases_prefix};
+            auto changes = co_await database_store_.watch(std::move(prefix), revision, watch_wait);
             if (!changes) {
                 co_return;
             }
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -178,7 +178,8 @@
         base::log_event(events::takeover_begun, {{"service", current.service_},
                                                  {"primary", current.replaced_},
                                                  {"reason", reason_name(current.reason_)}});
-        if (co_await open_record(current)) {
+        const bool is_open = co_await open_record(current);
+        if (is_open) {
             co_await stop_all(current);
             co_await promote_until_settled(current);
         }
@@ -212,7 +213,9 @@
             current.recorded_at_ = base::clock::now();
             co_return true;
         }
-        const bool is_written = co_await write_record(current, daemons::takeover_phase::open, {});
+        std::string nobody;
+        const bool is_written =
+            co_await write_record(current, daemons::takeover_phase::open, std::move(nobody));
         current.recorded_at_ = base::clock::now();
         co_return is_written;
     }
@@ -310,12 +313,14 @@
         if (!listing) {
             co_return false;
         }
-        auto report = co_await ask(*listing, protocol::status());
+        auto question = protocol::status();
+        auto report = co_await ask(*listing, std::move(question));
         if (!report) {
             co_return false;
         }
         if (report->role_ == backends::listed_role::primary) {
-            report = co_await ask(*listing, protocol::step_down(report->term_ + 1));
+            auto order = protocol::step_down(report->term_ + 1);
+            report = co_await ask(*listing, std::move(order));
         }
         const bool is_replica = report && report->role_ == backends::listed_role::replica;
         if (report) {
@@ -336,7 +341,8 @@
         if (!opened) {
             co_return std::nullopt;
         }
-        const auto reply = co_await opened->run(std::move(message), 1, base::clock::now() + ask_limit);
+        const auto give_up_at = base::clock::now() + ask_limit;
+        const auto reply = co_await opened->run(std::move(message), 1, give_up_at);
         opened->close();
         if (reply.status_ != backends::statement_status::done || reply.rows_.empty()) {
             co_return std::nullopt;
@@ -358,7 +364,9 @@
             if (!may_lead) {
                 continue;
             }
-            if (const auto report = co_await ask(one, protocol::status())) {
+            auto question = protocol::status();
+            const auto report = co_await ask(one, std::move(question));
+            if (report) {
                 found.push_back({one, *report});
             }
         }
@@ -378,7 +386,9 @@
                 return one.report_.role_ == backends::listed_role::primary;
             });
             if (leading != candidates.end()) {
-                if (co_await settle(current, leading->database_->id_)) {
+                auto id = leading->database_->id_;
+                const bool is_settled = co_await settle(current, std::move(id));
+                if (is_settled) {
                     co_return;
                 }
                 co_await http::sleep_for(promote_poll);
@@ -399,8 +409,10 @@
                 co_await http::sleep_for(promote_poll);
                 continue;
             }
-            if (co_await promote(current, chosen->database_) == backends::promotion_outcome::refused) {
-                refused.insert(chosen->database_->id_);
+            const auto database = chosen->database_;
+            const auto outcome = co_await promote(current, database);
+            if (outcome == backends::promotion_outcome::refused) {
+                refused.insert(database->id_);
             }
         }
         log_step(current, "promote", "the duty was lost");
@@ -410,10 +422,14 @@
                                                                 backends::database_listing chosen) {
         const bool is_recorded = current.record_->phase_ == daemons::takeover_phase::promoting &&
                                  current.record_->chosen_ == chosen->id_;
-        if (!is_recorded &&
-            !co_await write_record(current, daemons::takeover_phase::promoting, chosen->id_)) {
-            co_await http::sleep_for(promote_poll);
-            co_return backends::promotion_outcome::not_sent;
+        if (!is_recorded) {
+            auto id = chosen->id_;
+            const bool is_written =
+                co_await write_record(current, daemons::takeover_phase::promoting, std::move(id));
+            if (!is_written) {
+                co_await http::sleep_for(promote_poll);
+                co_return backends::promotion_outcome::not_sent;
+            }
         }
         if (!holds_duty(base::clock::now())) {
             co_return backends::promotion_outcome::not_sent;
@@ -440,7 +456,8 @@
             if (listing && (*listing)->role_ == backends::listed_role::primary) {
                 co_return;
             }
-            const auto report = co_await ask(chosen, protocol::status());
+            auto question = protocol::status();
+            const auto report = co_await ask(chosen, std::move(question));
             if (report && report->role_ == backends::listed_role::primary) {
                 co_return;
             }
@@ -448,7 +465,10 @@
     }
 
     boost::asio::awaitable<bool> settle(takeover& current, std::string leading) {
-        if (!co_await write_record(current, daemons::takeover_phase::settled, leading)) {
+        auto chosen = leading;
+        const bool is_written =
+            co_await write_record(current, daemons::takeover_phase::settled, std::move(chosen));
+        if (!is_written) {
             co_return false;
         }
         final_positions_.erase(current.service_);
