Proxy: Call no route missing before the first configuration; keep one promotion target

A session's start now waits for the first configuration and is refused as not run without it. An accepted order may take effect later, so the ordered database stays the only choice until the platform refuses it. Also: changes of the server list in quick succession are taken together.

--- /dev/null
+++ b/libraries/backends/promotion_choice.cpp
@@ -0,0 +1,29 @@
+#include <backends/promotion_choice.hpp>
+
+#include <algorithm>
+
+namespace backends {
+
+promotion_choice choose_promotion(const promotion_state& state) {
+    if (state.ordered_ && !state.is_ordered_refused_) {
+        const auto step = state.is_ordered_leading_ ? promotion_step::settle : promotion_step::order;
+        return {step, *state.ordered_};
+    }
+    const promotion_candidate* best = nullptr;
+    for (const auto& one : state.candidates_) {
+        const bool is_better = best == nullptr || one.report_.received_ > best->report_.received_;
+        if (!state.refused_.contains(one.id_) && is_better) {
+            best = &one;
+        }
+    }
+    if (best == nullptr) {
+        return {};
+    }
+    const bool is_behind = state.final_position_ && best->report_.received_ < *state.final_position_;
+    if (is_behind && state.may_wait_) {
+        return {};
+    }
+    return {promotion_step::order, best->id_};
+}
+
+} // namespace backends
--- /dev/null
+++ b/libraries/backends/promotion_choice.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <backends/database_line.hpp>
+#include <base/log_position.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace backends {
+
+/// A database that may lead its service, as it answered.
+struct promotion_candidate {
+    std::string id_;
+    database_report report_;
+
+    friend auto operator<=>(const promotion_candidate&, const promotion_candidate&) = default;
+};
+
+/// What is known in the middle of a takeover.
+struct promotion_state {
+    /// The database that was last ordered to lead; an order may take effect later.
+    std::optional<std::string> ordered_;
+    /// Whether `ordered_` was seen to lead, or lists itself as the primary.
+    bool is_ordered_leading_ = false;
+    /// Whether the platform refused the last order for `ordered_`, so that it will not take effect.
+    bool is_ordered_refused_ = false;
+    /// Databases that the platform has refused.
+    std::set<std::string> refused_;
+    /// Where the log of the replaced primary ended, if it said so.
+    std::optional<base::log_position> final_position_;
+    /// Whether there is time left for replicas to receive all of it.
+    bool may_wait_ = false;
+    std::vector<promotion_candidate> candidates_;
+
+    friend auto operator<=>(const promotion_state&, const promotion_state&) = default;
+};
+
+/// What comes next in a takeover.
+enum class promotion_step : std::uint8_t {
+    /// Nothing can be done now.
+    wait,
+    /// Order the database to lead.
+    order,
+    /// The database leads; record it.
+    settle,
+};
+
+struct promotion_choice {
+    promotion_step step_ = promotion_step::wait;
+    std::string database_;
+
+    friend auto operator<=>(const promotion_choice&, const promotion_choice&) = default;
+};
+
+/// Chooses the next step. A database that was ordered to lead stays the only choice until the platform refuses
+/// it: its order may take effect at any time, and a second database would lead beside it. Otherwise the
+/// replica that has received most is chosen. Thread safety: pure.
+[[nodiscard]] promotion_choice choose_promotion(const promotion_state& state);
+
+} // namespace backends
--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -109,6 +109,13 @@
             co_return false;
         }
         database_ = opening->database_;
+        co_await wait_for_configuration();
+        if (!has_configuration()) {
+            auto refusal = Protocol::encode_start_refused(backends::statement_status::overloaded,
+                                                          "no configuration yet");
+            co_await send(std::move(refusal));
+            co_return false;
+        }
         if (!find_route()) {
             auto refusal = Protocol::encode_start_refused(backends::statement_status::no_database, database_);
             co_await send(std::move(refusal));
@@ -118,6 +125,18 @@
         co_return co_await send(std::move(greeting));
     }
 
+    [[nodiscard]] bool has_configuration() const {
+        return shared_.routes_.read([](const auto& routes) { return routes->version_ > 0; });
+    }
+
+    /// Until the first configuration is read nothing is known of any route, so none may be called missing.
+    [[nodiscard]] boost::asio::awaitable<void> wait_for_configuration() {
+        const auto end = base::clock::now() + configuration_wait;
+        while (!has_configuration() && base::clock::now() < end) {
+            co_await http::sleep_for(configuration_poll);
+        }
+    }
+
     [[nodiscard]] boost::asio::awaitable<bool> answer(const std::string& line) {
         auto message = Protocol::decode_client(line);
         if (std::holds_alternative<callers::session_end>(message)) {
@@ -425,6 +444,9 @@
                          {"detail", reply.detail_}});
     }
 
+    // Clients give a session up that has not started after two seconds.
+    static constexpr base::clock::duration configuration_wait{1'700};
+    static constexpr base::clock::duration configuration_poll{20};
     // A client that is gone without a word is noticed by the next answer to it.
     static constexpr base::clock::duration client_silence{10'000};
 
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -46,6 +46,7 @@
                 continue;
             }
             co_await watch_configuration(revision);
+            co_await http::sleep_for(pause_after_watch);
         }
     }
 
@@ -64,6 +65,7 @@
             control_.has_databases_ = true;
             control_.publish();
             co_await watch_databases(*at);
+            co_await http::sleep_for(pause_after_watch);
         }
     }
 
@@ -146,6 +148,10 @@
                 }
             }
             control_.publish();
+            if (!changes->events_.empty()) {
+                // Every call has a price: changes in quick succession are taken together.
+                co_await http::sleep_for(change_pause);
+            }
         }
     }
 
@@ -154,6 +160,10 @@
     // A watch whose connection has gone silent is given up after this and the time-out of a call, so that a
     // change is seen within the time that the platform allows.
     static constexpr base::clock::duration watch_wait{1'500};
+    // A store that refuses watches and answers reads must not be asked in a loop.
+    static constexpr base::clock::duration pause_after_watch{120};
+    // Well below the second that a change of primary takes.
+    static constexpr base::clock::duration change_pause{100};
     static constexpr base::clock::duration first_configuration_poll{250};
 
     control_context<Platform>& control_;
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <backends/primary_promoter.hpp>
+#include <backends/promotion_choice.hpp>
 #include <backends/statement_connection.hpp>
 #include <base/clock.hpp>
 #include <base/event.hpp>
@@ -20,7 +21,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -350,14 +350,10 @@
         co_return protocol::decode_report(reply.rows_.front());
     }
 
-    struct candidate {
-        backends::database_listing database_;
-        backends::database_report report_;
-    };
-
-    /// Asks the databases of a service that may lead it, the one that received most first.
-    boost::asio::awaitable<std::vector<candidate>> find_candidates(const takeover& current) {
-        std::vector<candidate> found;
+    /// Asks the databases of a service that may lead it.
+    boost::asio::awaitable<std::vector<backends::promotion_candidate>>
+    find_candidates(const takeover& current) {
+        std::vector<backends::promotion_candidate> found;
         for (const auto& one : control_.knowledge_.databases_of(current.service_)) {
             const bool may_lead =
                 one->id_ != current.replaced_ && one->state_ == backends::listed_state::ready;
@@ -367,101 +363,98 @@
             auto question = protocol::status();
             const auto report = co_await ask(one, std::move(question));
             if (report) {
-                found.push_back({one, *report});
+                found.push_back({one->id_, *report});
             }
         }
-        std::stable_sort(found.begin(), found.end(), [](const candidate& left, const candidate& right) {
-            return left.report_.received_ > right.report_.received_;
-        });
         co_return found;
     }
 
-    /// Promotes until a database leads. Gives up only when the duty is lost.
+    /// Orders a database to lead and records it. Gives up only when the duty is lost.
     boost::asio::awaitable<void> promote_until_settled(takeover& current) {
         const auto caught_up_by = base::clock::now() + catch_up_wait;
-        std::set<std::string> refused;
+        backends::promotion_state state;
+        if (current.record_->phase_ == daemons::takeover_phase::promoting) {
+            state.ordered_ = current.record_->chosen_;
+        }
+        if (const auto found = final_positions_.find(current.service_); found != final_positions_.end()) {
+            state.final_position_ = found->second;
+        }
         while (holds_duty(base::clock::now())) {
-            const auto candidates = co_await find_candidates(current);
-            const auto leading = std::find_if(candidates.begin(), candidates.end(), [](const auto& one) {
-                return one.report_.role_ == backends::listed_role::primary;
-            });
-            if (leading != candidates.end()) {
-                auto id = leading->database_->id_;
-                const bool is_settled = co_await settle(current, std::move(id));
+            state.may_wait_ = base::clock::now() < caught_up_by;
+            if (!state.ordered_ || state.is_ordered_refused_) {
+                state.candidates_ = co_await find_candidates(current);
+            }
+            const auto choice = backends::choose_promotion(state);
+            if (choice.step_ == backends::promotion_step::settle) {
+                const bool is_settled = co_await settle(current, choice.database_);
                 if (is_settled) {
                     co_return;
                 }
-                co_await http::sleep_for(promote_poll);
+            } else if (choice.step_ == backends::promotion_step::order) {
+                co_await promote(current, choice.database_, state);
                 continue;
+            } else {
+                state.refused_.clear();
             }
-            const auto chosen = std::find_if(candidates.begin(), candidates.end(), [&refused](const auto& one) {
-                return !refused.contains(one.database_->id_);
-            });
-            if (chosen == candidates.end()) {
-                refused.clear();
-                co_await http::sleep_for(promote_poll);
-                continue;
-            }
-            const auto final_position = final_positions_.find(current.service_);
-            const bool is_behind = final_position != final_positions_.end() &&
-                                   chosen->report_.received_ < final_position->second;
-            if (is_behind && base::clock::now() < caught_up_by) {
-                co_await http::sleep_for(promote_poll);
-                continue;
-            }
-            const auto database = chosen->database_;
-            const auto outcome = co_await promote(current, database);
-            if (outcome == backends::promotion_outcome::refused) {
-                refused.insert(database->id_);
-            }
+            co_await http::sleep_for(promote_poll);
         }
         log_step(current, "promote", "the duty was lost");
     }
 
-    boost::asio::awaitable<backends::promotion_outcome> promote(takeover& current,
-                                                                backends::database_listing chosen) {
+    /// Records an order, sends it and waits for its effect.
+    boost::asio::awaitable<void> promote(takeover& current, std::string chosen,
+                                         backends::promotion_state& state) {
         const bool is_recorded = current.record_->phase_ == daemons::takeover_phase::promoting &&
-                                 current.record_->chosen_ == chosen->id_;
+                                 current.record_->chosen_ == chosen;
         if (!is_recorded) {
-            auto id = chosen->id_;
+            auto id = chosen;
             const bool is_written =
                 co_await write_record(current, daemons::takeover_phase::promoting, std::move(id));
             if (!is_written) {
                 co_await http::sleep_for(promote_poll);
-                co_return backends::promotion_outcome::not_sent;
+                co_return;
             }
         }
         if (!holds_duty(base::clock::now())) {
-            co_return backends::promotion_outcome::not_sent;
+            co_return;
         }
-        backends::promotion_order order{current.service_, chosen->id_, control_.settings_->name_,
+        state.ordered_ = chosen;
+        state.is_ordered_refused_ = false;
+        backends::promotion_order order{current.service_, chosen, control_.settings_->name_,
                                         control_.duty_->token_};
         const auto outcome = co_await promoter_.promote(std::move(order));
-        log_step(current, "promote", chosen->id_ + " outcome " + std::to_string(static_cast<int>(outcome)));
+        log_step(current, "promote", chosen + " outcome " + std::to_string(static_cast<int>(outcome)));
+        if (outcome == backends::promotion_outcome::refused) {
+            state.is_ordered_refused_ = true;
+            state.refused_.insert(chosen);
+        }
         if (outcome == backends::promotion_outcome::accepted ||
             outcome == backends::promotion_outcome::answer_lost) {
-            co_await wait_for_lead(chosen);
+            state.is_ordered_leading_ = co_await wait_for_lead(chosen);
         } else {
             co_await http::sleep_for(promote_poll);
         }
-        co_return outcome;
     }
 
-    /// Waits until a database leads, at most for some seconds.
-    boost::asio::awaitable<void> wait_for_lead(backends::database_listing chosen) {
+    /// Waits until a database leads, at most for some seconds. Returns whether it does.
+    boost::asio::awaitable<bool> wait_for_lead(std::string chosen) {
         const auto end = base::clock::now() + lead_wait;
         while (base::clock::now() < end) {
             co_await http::sleep_for(promote_poll);
-            const auto listing = control_.knowledge_.find_database(chosen->id_);
-            if (listing && (*listing)->role_ == backends::listed_role::primary) {
-                co_return;
+            const auto listing = control_.knowledge_.find_database(chosen);
+            if (!listing) {
+                co_return false;
+            }
+            if ((*listing)->role_ == backends::listed_role::primary) {
+                co_return true;
             }
             auto question = protocol::status();
-            const auto report = co_await ask(chosen, std::move(question));
+            const auto report = co_await ask(*listing, std::move(question));
             if (report && report->role_ == backends::listed_role::primary) {
-                co_return;
+                co_return true;
             }
         }
+        co_return false;
     }
 
     boost::asio::awaitable<bool> settle(takeover& current, std::string leading) {
