Proxy: Let a duty holder without the store resign; keep fewer idle connections

After all hosts lost power the databases still counted the old connections against their limit of 16, so statements waited 800 ms for a connection. Change: a holder whose polls fail for 1.3 s and that has no order under way tells its peers that it resigns, and the first that reaches the store goes on at once; idle connections beyond one are closed after 1 s.

--- a/libraries/backends/database_member.hpp
+++ b/libraries/backends/database_member.hpp
@@ -113,16 +113,20 @@
         }
     }
 
-    /// Closes idle connections that are beyond the share or were not used for long.
+    /// Closes idle connections that other daemons, or this one after a restart, may need: a database counts the
+    /// connections of a host that lost power for some seconds more. One is kept.
     void close_idle(base::clock::time_point now) {
-        std::erase_if(idle_, [this, now](const auto& one) {
+        auto left = idle_.size();
+        std::erase_if(idle_, [this, now, &left](const auto& one) {
             const auto idle_for = now - one->idle_since();
-            const bool is_surplus = share_.is_above_share(open_connections()) && idle_for > surplus_idle;
-            if (is_surplus || idle_for > longest_idle) {
-                one->close();
-                return true;
+            const bool is_above = share_.is_above_share(open_connections());
+            const auto limit = left == 1 ? longest_idle : (is_above ? surplus_idle : spare_idle);
+            if (idle_for <= limit) {
+                return false;
             }
-            return false;
+            one->close();
+            --left;
+            return true;
         });
     }
 
@@ -154,7 +158,9 @@
     // A replica behind a healthy primary catches up within tens of milliseconds.
     static constexpr base::clock::duration shortest_behind_pause{20};
     static constexpr base::clock::duration longest_behind_pause{320};
-    static constexpr base::clock::duration surplus_idle{400};
+    static constexpr base::clock::duration surplus_idle{300};
+    // Longer than the pause between two bursts of statements of one client.
+    static constexpr base::clock::duration spare_idle{1'000};
     static constexpr base::clock::duration longest_idle{20'000};
     static constexpr std::uint32_t most_opening_at_once = 2;
 
--- a/libraries/daemons/fleet_message.hpp
+++ b/libraries/daemons/fleet_message.hpp
@@ -25,6 +25,9 @@
     suspicion,
     /// Tells a new state of a takeover record.
     notice,
+    /// The holder of the duty has lost the store and gives the duty with the token in `number_` up: it orders
+    /// nothing any more, and none of its orders is under way.
+    resignation,
 };
 
 /// How a daemon sees the primary of a service.
--- a/libraries/daemons/message_codec.cpp
+++ b/libraries/daemons/message_codec.cpp
@@ -112,7 +112,7 @@
     return static_cast<std::uint8_t>(takeover_phase::settled);
 }
 constexpr std::uint8_t last_value(fleet_message_kind /*type*/) {
-    return static_cast<std::uint8_t>(fleet_message_kind::notice);
+    return static_cast<std::uint8_t>(fleet_message_kind::resignation);
 }
 constexpr std::uint8_t last_value(primary_sight /*type*/) {
     return static_cast<std::uint8_t>(primary_sight::fails);
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -5,6 +5,7 @@
 #include <base/event.hpp>
 #include <daemons/fleet_message.hpp>
 #include <daemons/primary_evidence.hpp>
+#include <http/wait_signal.hpp>
 #include <operators/session_settings.hpp>
 #include <proxy/events.hpp>
 #include <proxy/fleet_knowledge.hpp>
@@ -36,6 +37,8 @@
     /// When the read of the store was sent that last showed this daemon as the holder.
     base::clock::time_point verified_at_{};
     base::clock::time_point taken_at_{};
+    /// Whether the holder before has said that none of its orders is under way.
+    bool has_predecessor_resigned_ = false;
 
     friend auto operator<=>(const held_duty&, const held_duty&) = default;
 };
@@ -144,6 +147,12 @@
     /// Services of which this daemon has begun a takeover that is not settled.
     std::set<std::string> begun_;
     std::optional<held_duty> duty_;
+    /// Token of a duty whose holder has given it up without being able to tell the store; 0 for none.
+    std::uint64_t resigned_token_ = 0;
+    /// Promotion orders of this daemon that have no answer yet.
+    std::uint32_t orders_under_way_ = 0;
+    /// Wakes up the poll of the fleet's keys.
+    http::wait_signal poll_soon_;
     /// When this daemon's registration was acknowledged.
     std::optional<base::clock::time_point> registered_at_;
     bool has_databases_ = false;
--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -44,7 +44,7 @@
             }
             pause.after_success();
             if (*read) {
-                co_await http::sleep_for(period);
+                co_await control_.poll_soon_.wait_for(period);
             }
         }
     }
@@ -64,6 +64,19 @@
         }
     }
 
+    /// Gives the duty up when the store has not answered for a while, so that a daemon that reaches it can go on.
+    /// Returns the token of a duty that was given up just now.
+    [[nodiscard]] std::optional<std::uint64_t> resign_if_cut_off(base::clock::time_point now) {
+        const bool is_cut_off = control_.duty_ && now - control_.duty_->verified_at_ > resignation_delay &&
+                                control_.orders_under_way_ == 0;
+        if (!is_cut_off) {
+            return std::nullopt;
+        }
+        const auto token = control_.duty_->token_;
+        lose_duty("the store does not answer");
+        return token;
+    }
+
     /// Gives the duty back, so that another daemon takes it at once. Precondition: no takeover is under way.
     [[nodiscard]] boost::asio::awaitable<void> hand_back() {
         if (!control_.duty_) {
@@ -190,17 +203,19 @@
         if (control_.duty_) {
             lose_duty("another revision of its key is in the store");
         }
+        const bool has_resigned = duty && (*duty)->revision_ == control_.resigned_token_;
         // A process that started on the address of the holder replaces it: the earlier one has ended.
-        const bool is_free = !duty || holder == control_.address_;
+        const bool is_free = !duty || holder == control_.address_ || has_resigned;
         if (!is_free || control_.is_draining_) {
             absent_polls_ = 0;
             co_return;
         }
-        const bool is_turn = absent_polls_ >= rank() || holder == control_.address_;
+        // A resignation wakes all daemons up at once, and the store lets one of them win.
+        const bool is_turn = absent_polls_ >= rank() || holder == control_.address_ || has_resigned;
         ++absent_polls_;
         if (is_turn) {
             const auto present_revision = duty ? (*duty)->revision_ : 0;
-            co_await take_duty(present_revision);
+            co_await take_duty(present_revision, has_resigned);
         }
     }
 
@@ -211,7 +226,7 @@
         return static_cast<std::uint32_t>(std::min<std::ptrdiff_t>(std::distance(all.begin(), own), 4));
     }
 
-    boost::asio::awaitable<void> take_duty(std::uint64_t present_revision) {
+    boost::asio::awaitable<void> take_duty(std::uint64_t present_revision, bool has_resigned) {
         const auto lease = co_await duty_store_.grant_lease(lease_length);
         if (!lease) {
             co_return;
@@ -227,7 +242,8 @@
         if (!result || !result->applied_) {
             co_return;
         }
-        control_.duty_ = held_duty{result->revision_, *lease, asked_at, base::clock::now()};
+        control_.duty_ =
+            held_duty{result->revision_, *lease, asked_at, base::clock::now(), has_resigned};
         base::log_event(events::duty_changed,
                         {{"held", "yes"}, {"token", std::to_string(result->revision_)}});
     }
@@ -240,6 +256,8 @@
     static constexpr base::clock::duration call_timeout{700};
     // A fifth of the life of evidence, so that a lost call or two cost nothing.
     static constexpr base::clock::duration period{800};
+    // One poll that failed and a second one that has not been answered.
+    static constexpr base::clock::duration resignation_delay{1'300};
     static constexpr base::clock::duration renewal_period{1'000};
     // After a holder dies, the duty is free this long afterwards.
     static constexpr base::clock::duration lease_length{3'000};
--- a/libraries/proxy/peer_talk.hpp
+++ b/libraries/proxy/peer_talk.hpp
@@ -105,6 +105,13 @@
         send_to_all(notice);
     }
 
+    /// Gives up the duty with a token, which the store cannot be told.
+    void tell_resignation(std::uint64_t token) {
+        auto message = make_message(daemons::fleet_message_kind::resignation);
+        message.number_ = token;
+        send_to_all(message);
+    }
+
     /// Tells all peers that the primary of a service does not answer here.
     void tell_suspicion(const std::string& service, const std::string& database) {
         auto message = make_message(daemons::fleet_message_kind::suspicion);
@@ -224,6 +231,12 @@
                 note_stopped(*record, message->sender_);
             }
             break;
+        case daemons::fleet_message_kind::resignation:
+            if (control_.resigned_token_ != message->number_) {
+                control_.resigned_token_ = message->number_;
+                control_.poll_soon_.notify_all();
+            }
+            break;
         case daemons::fleet_message_kind::suspicion:
         case daemons::fleet_message_kind::notice:
             break;
--- a/libraries/proxy/session_daemon.hpp
+++ b/libraries/proxy/session_daemon.hpp
@@ -153,10 +153,27 @@
         spawn(peers_->receive());
         spawn(peers_->ask());
         spawn(takeovers_->watch());
+        spawn(resign_when_cut_off());
         spawn(follow_signals());
         spawn(follow_settings());
     }
 
+    boost::asio::awaitable<void> resign_when_cut_off() {
+        std::uint64_t token = 0;
+        base::clock::time_point told_until{};
+        for (;;) {
+            co_await http::sleep_for(resignation_period);
+            const auto now = base::clock::now();
+            if (const auto given_up = poll_.resign_if_cut_off(now)) {
+                token = *given_up;
+                told_until = now + resignation_repeats;
+            }
+            if (now < told_until) {
+                peers_->tell_resignation(token);
+            }
+        }
+    }
+
     /// A daemon is ready once it can serve any route: it has a configuration, databases and evidence.
     [[nodiscard]] bool is_ready() {
         const auto now = base::clock::now();
@@ -272,6 +289,9 @@
     static constexpr base::clock::duration settings_period{2'000};
     // The platform asks once a second and acts after two misses.
     static constexpr base::clock::duration balancer_delay{2'300};
+    static constexpr base::clock::duration resignation_period{100};
+    // Datagrams may be lost.
+    static constexpr base::clock::duration resignation_repeats{500};
     static constexpr base::clock::duration stop_poll{20};
     static constexpr base::clock::duration exit_margin{400};
 
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -95,7 +95,9 @@
         }
         if (decision == daemons::takeover_decision::finish) {
             // An order of the earlier holder may be under way for as long as it trusted its duty.
-            if (now - control_.duty_->taken_at_ < duty_freshness + promote_timeout) {
+            const bool has_to_wait = !control_.duty_->has_predecessor_resigned_ &&
+                                     now - control_.duty_->taken_at_ < duty_freshness + promote_timeout;
+            if (has_to_wait) {
                 return false;
             }
         }
@@ -421,7 +423,9 @@
         state.is_ordered_refused_ = false;
         backends::promotion_order order{current.service_, chosen, control_.settings_->name_,
                                         control_.duty_->token_};
+        ++control_.orders_under_way_;
         const auto outcome = co_await promoter_.promote(std::move(order));
+        --control_.orders_under_way_;
         log_step(current, "promote", chosen + " outcome " + std::to_string(static_cast<int>(outcome)));
         if (outcome == backends::promotion_outcome::refused) {
             state.is_ordered_refused_ = true;
