Proxy: Take evidence from the duty's holder, watch the store longer, read the daemons after the record

The holder reads the store every 0.8 s and the others ask it; watches wait 10 s, and keep-alive probes find a silent connection within 3 s. A takeover also trusted a list of daemons that may be older than its record: one that registered in between would not have been asked; it now waits for a read sent after the record. After a holder's death the duty is free after 2 s instead of 3 s; a silent database is probed after 200 ms.

--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -434,7 +434,7 @@
     }
 
     // Several times the longest statement of today's services.
-    static constexpr base::clock::duration silence_before_probe{300};
+    static constexpr base::clock::duration silence_before_probe{200};
 
     boost::asio::any_io_executor executor_;
     std::string failure_domain_;
--- a/libraries/backends/statement_connection.hpp
+++ b/libraries/backends/statement_connection.hpp
@@ -22,7 +22,7 @@
 /// Bounds of a connection to a database.
 struct connection_times {
     /// How long opening may take, with the database's answer to the start.
-    base::clock::duration open_{400};
+    base::clock::duration open_{300};
     /// How long sent bytes may stay unacknowledged by the database's host before the connection is given up.
     base::clock::duration unacknowledged_{600};
 
--- a/libraries/daemons/primary_evidence.cpp
+++ b/libraries/daemons/primary_evidence.cpp
@@ -35,6 +35,10 @@
     return std::max(*seen_ + limits_.valid_for_, round_until_);
 }
 
+std::optional<base::clock::duration> primary_evidence::age(base::clock::time_point now) const noexcept {
+    return seen_ ? std::optional{now - *seen_} : std::nullopt;
+}
+
 std::optional<base::clock::duration> primary_evidence::store_age(base::clock::time_point now) const noexcept {
     return store_read_ ? std::optional{now - *store_read_} : std::nullopt;
 }
--- a/libraries/daemons/primary_evidence.hpp
+++ b/libraries/daemons/primary_evidence.hpp
@@ -36,6 +36,8 @@
 
     /// Returns until when primaries may be used.
     [[nodiscard]] base::clock::time_point until() const noexcept;
+    /// Returns the age of the last sight of the store, by this daemon or a peer.
+    [[nodiscard]] std::optional<base::clock::duration> age(base::clock::time_point now) const noexcept;
     /// Returns the age of this daemon's own last sight of the store, which is what it may tell peers.
     [[nodiscard]] std::optional<base::clock::duration> store_age(base::clock::time_point now) const noexcept;
 
--- a/libraries/http/client_connection.cpp
+++ b/libraries/http/client_connection.cpp
@@ -9,6 +9,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <optional>
 
 namespace http {
@@ -48,6 +51,19 @@
     return message;
 }
 
+/// Lets the system notice a peer that is gone while a long answer, such as that of a watch, is awaited.
+void keep_alive(asio::ip::tcp::socket& socket) {
+    constexpr int on = 1;
+    constexpr int idle_s = 1;
+    constexpr int interval_s = 1;
+    constexpr int most_unanswered = 2;
+    const auto handle = socket.native_handle();
+    ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &most_unanswered, sizeof most_unanswered);
+}
+
 template <typename Stream, typename Message, typename Parser>
 asio::awaitable<boost::system::error_code> exchange_messages(Stream& stream, beast::flat_buffer& buffer,
                                                              Message& message, Parser& parser) {
@@ -98,6 +114,7 @@
     co_await created->stream_.async_connect(target, asio::redirect_error(asio::use_awaitable, failure));
     if (!failure) {
         created->stream_.socket().set_option(asio::ip::tcp::no_delay{true}, failure);
+        keep_alive(created->stream_.socket());
     }
     if (!failure && created->tls_) {
         co_await created->tls_->async_handshake(asio::ssl::stream_base::client,
--- a/libraries/http/line_socket.cpp
+++ b/libraries/http/line_socket.cpp
@@ -24,8 +24,8 @@
 
 } // namespace
 
-line_socket::line_socket(asio::any_io_executor executor)
-    : state_{std::make_shared<state>(asio::ip::tcp::socket{std::move(executor)})} {}
+line_socket::line_socket(const asio::any_io_executor& executor)
+    : state_{std::make_shared<state>(asio::ip::tcp::socket{executor})} {}
 
 line_socket::line_socket(asio::ip::tcp::socket socket) : state_{std::make_shared<state>(std::move(socket))} {}
 
--- a/libraries/http/line_socket.hpp
+++ b/libraries/http/line_socket.hpp
@@ -21,7 +21,7 @@
 /// Thread safety: used by the thread of its executor only. Precondition: one read and one write at a time.
 class line_socket {
 public:
-    explicit line_socket(boost::asio::any_io_executor executor);
+    explicit line_socket(const boost::asio::any_io_executor& executor);
     /// Takes over an accepted socket.
     explicit line_socket(boost::asio::ip::tcp::socket socket);
 
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -147,6 +147,10 @@
     /// Services of which this daemon has begun a takeover that is not settled.
     std::set<std::string> begun_;
     std::optional<held_duty> duty_;
+    /// Peer address of the daemon that holds the duty, as last read.
+    std::string duty_holder_;
+    /// When the last complete read of the fleet's keys was sent.
+    base::clock::time_point fleet_read_at_{};
     /// Token of a duty whose holder has given it up without being able to tell the store; 0 for none.
     std::uint64_t resigned_token_ = 0;
     /// Promotion orders of this daemon that have no answer yet.
--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -44,7 +44,7 @@
             }
             pause.after_success();
             if (*read) {
-                co_await control_.poll_soon_.wait_for(period);
+                co_await wait_until_due();
             }
         }
     }
@@ -102,6 +102,28 @@
         std::string duty_holder_;
     };
 
+    /// The holder of the duty reads the store all the time; the others rest on its word as long as it is fresh,
+    /// so that the load on the store does not grow with the fleet.
+    boost::asio::awaitable<void> wait_until_due() {
+        const auto last = base::clock::now();
+        for (;;) {
+            const auto is_woken = co_await wait_or_wake();
+            const auto now = base::clock::now();
+            const auto age = control_.evidence_.age(now);
+            const bool is_fresh = age && *age < fresh_evidence;
+            if (is_woken || control_.duty_ || !is_fresh || now - last >= longest_period) {
+                co_return;
+            }
+        }
+    }
+
+    /// Returns whether somebody asked for a read before the period was over.
+    boost::asio::awaitable<bool> wait_or_wake() {
+        const auto end = base::clock::now() + period;
+        co_await control_.poll_soon_.wait_for(period);
+        co_return base::clock::now() < end;
+    }
+
     /// Returns whether the daemon is registered and need not read again at once.
     boost::asio::awaitable<base::result<bool>> read_once() {
         const auto asked_at = base::clock::now();
@@ -123,6 +145,8 @@
         if (!control_.registered_at_) {
             control_.registered_at_ = asked_at;
         }
+        control_.fleet_read_at_ = asked_at;
+        control_.duty_holder_ = keys.duty_holder_;
         control_.evidence_.note_store_read(asked_at);
         control_.publish_evidence();
         co_await look_after_duty(keys.duty_, keys.duty_holder_, asked_at);
@@ -256,11 +280,15 @@
     static constexpr base::clock::duration call_timeout{700};
     // A fifth of the life of evidence, so that a lost call or two cost nothing.
     static constexpr base::clock::duration period{800};
+    // Two questions to the holder that went unanswered.
+    static constexpr base::clock::duration fresh_evidence{1'700};
+    // Bounds the age of the list of registered daemons.
+    static constexpr base::clock::duration longest_period{6'000};
     // One poll that failed and a second one that has not been answered.
     static constexpr base::clock::duration resignation_delay{1'300};
-    static constexpr base::clock::duration renewal_period{1'000};
+    static constexpr base::clock::duration renewal_period{600};
     // After a holder dies, the duty is free this long afterwards.
-    static constexpr base::clock::duration lease_length{3'000};
+    static constexpr base::clock::duration lease_length{2'000};
 
     control_context<Platform>& control_;
     typename Platform::store store_;
--- a/libraries/proxy/peer_talk.hpp
+++ b/libraries/proxy/peer_talk.hpp
@@ -53,6 +53,8 @@
             const auto now = base::clock::now();
             if (now >= next_question_) {
                 ask_all(now);
+            } else if (!control_.duty_ && now >= next_holder_question_) {
+                ask_holder(now);
             }
             if (needs_evidence(now) || is_suspecting_) {
                 co_await http::sleep_for(hasty_period);
@@ -70,6 +72,15 @@
         send_to_all(question);
         const bool is_urgent = needs_evidence(now) || is_suspecting_;
         next_question_ = now + (is_urgent ? hasty_period : liveness_period);
+        next_holder_question_ = now + holder_period;
+    }
+
+    /// Asks only the holder of the duty, which reads the store all the time.
+    void ask_holder(base::clock::time_point now) {
+        const auto question = make_message(daemons::fleet_message_kind::question);
+        holder_question_ = {question.number_, now};
+        next_holder_question_ = now + holder_period;
+        send(control_.duty_holder_, daemons::encode_message(daemons::fleet_message{question}));
     }
 
     /// Makes questions more frequent while a primary is suspected.
@@ -150,6 +161,10 @@
         /// The registered daemons when the questions were sent; a round counts only if they are the same.
         std::vector<std::string> asked_;
     };
+    struct asked_question {
+        std::uint64_t number_ = 0;
+        base::clock::time_point asked_at_{};
+    };
     struct dated_sight {
         daemons::sighted_primary primary_;
         base::clock::time_point at_{};
@@ -170,7 +185,7 @@
     }
 
     [[nodiscard]] bool needs_evidence(base::clock::time_point now) const {
-        const auto age = control_.evidence_.store_age(now);
+        const auto age = control_.evidence_.age(now);
         return control_.registered_at_ && (!age || *age > old_evidence);
     }
 
@@ -274,8 +289,14 @@
     }
 
     void take_answer(const daemons::fleet_message_fields& reply, base::clock::time_point now) {
-        const bool is_current = reply.number_ == round_.number_ && control_.registered_at_;
-        if (!is_current || reply.known_run_ != control_.run_) {
+        if (!control_.registered_at_ || reply.known_run_ != control_.run_) {
+            return;
+        }
+        if (reply.number_ == holder_question_.number_ && reply.evidence_age_) {
+            control_.evidence_.note_peer(holder_question_.asked_at_, *reply.evidence_age_);
+            control_.publish_evidence();
+        }
+        if (reply.number_ != round_.number_) {
             return;
         }
         // The records came first, so the evidence covers what this daemon now knows.
@@ -325,8 +346,9 @@
     }
 
     static constexpr base::clock::duration receive_retry_pause{20};
-    // Two periods of the poll: a peer is asked only when the store has not answered for a while.
-    static constexpr base::clock::duration old_evidence{1'700};
+    // Two questions to the holder that went unanswered; then all peers are asked.
+    static constexpr base::clock::duration old_evidence{1'900};
+    static constexpr base::clock::duration holder_period{700};
     static constexpr base::clock::duration hasty_period{150};
     static constexpr base::clock::duration calm_period{250};
     // Tells the holder of the duty which daemons are alive.
@@ -336,12 +358,14 @@
     control_context<Platform>& control_;
     daemons::udp_transport transport_;
     question_round round_;
+    asked_question holder_question_;
     std::map<std::string, std::map<std::string, dated_sight>> sights_of_peers_;
     std::map<std::string, base::clock::time_point> heard_;
     std::map<std::string, stop_answers> stopped_;
     /// Revision of the last record for which this daemon has stopped, by service.
     std::map<std::string, std::uint64_t> own_stops_;
     base::clock::time_point next_question_{};
+    base::clock::time_point next_holder_question_{};
     std::uint64_t last_number_ = 0;
     bool is_suspecting_ = false;
 };
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -156,9 +156,9 @@
 
     // The store answers in milliseconds; a call without an answer for this long gets none.
     static constexpr base::clock::duration call_timeout{700};
-    // A watch whose connection has gone silent is given up after this and the time-out of a call, so that a
-    // change is seen within the time that the platform allows.
-    static constexpr base::clock::duration watch_wait{1'500};
+    // Every call has a price, a waiting watch too. A connection that has gone silent is noticed by its
+    // keep-alive probes within three seconds.
+    static constexpr base::clock::duration watch_wait{10'000};
     // A store that refuses watches and answers reads must not be asked in a loop.
     static constexpr base::clock::duration pause_after_watch{120};
     // Well below the second that a change of primary takes.
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -286,7 +286,12 @@
             co_await http::sleep_for(stop_period);
             const auto missing = peers_.not_stopped(current.record_);
             const auto now = base::clock::now();
-            if (missing.empty() && now >= started_at + grace) {
+            // A daemon may have registered since the last read, and used the primary before the record was there.
+            const bool is_list_fresh = control_.fleet_read_at_ >= current.recorded_at_;
+            if (!is_list_fresh) {
+                control_.poll_soon_.notify_all();
+            }
+            if (is_list_fresh && missing.empty() && now >= started_at + grace) {
                 log_step(current, "stop", "all daemons answered");
                 break;
             }
@@ -522,9 +527,9 @@
     static constexpr base::clock::duration calm_period{200};
     static constexpr base::clock::duration hasty_period{60};
     static constexpr base::clock::duration store_timeout{700};
-    static constexpr base::clock::duration promote_timeout{800};
+    static constexpr base::clock::duration promote_timeout{600};
     // A holder orders nothing on the word of an older read of the store.
-    static constexpr base::clock::duration duty_freshness{2'000};
+    static constexpr base::clock::duration duty_freshness{1'600};
     static constexpr base::clock::duration lost_answer_wait{3'000};
     // Long enough for a transaction of a dozen statements, well below the time that a leaving database gives.
     static constexpr base::clock::duration planned_grace{400};
