Backends: Keep the queues of congested databases short and remember replicas' positions

Change: other priorities than the most urgent get half as many statements at a database whose statements take twice their usual time, the most urgent one more than the others; a replica's last answered position counts. Ruled out: connections, of which there were more than statements under way.

--- a/libraries/backends/database_member.hpp
+++ b/libraries/backends/database_member.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <backends/congestion_estimate.hpp>
 #include <backends/connection_share.hpp>
 #include <backends/database_listing.hpp>
 #include <backends/statement_connection.hpp>
@@ -102,6 +103,12 @@
     }
     void note_fresh() noexcept { behind_pause_ = shortest_behind_pause; }
 
+    /// Notes the position that a replica has applied. One of a later term replaces those of earlier ones.
+    void note_position(base::log_position position) noexcept { position_ = position; }
+
+    /// Notes how long a statement took.
+    void note_duration(base::clock::duration length) noexcept { congestion_.note(length); }
+
     /// Closes all connections, those in use too.
     void close_all() {
         for (const auto& one : idle_) {
@@ -146,7 +153,13 @@
     [[nodiscard]] std::optional<base::clock::time_point> failing_since() const noexcept {
         return failing_since_;
     }
-    [[nodiscard]] bool is_behind(base::clock::time_point now) const noexcept { return now < behind_until_; }
+    /// Returns whether the database was behind lately and is not known to have reached a position since.
+    [[nodiscard]] bool is_behind(base::log_position needed, base::clock::time_point now) const noexcept {
+        return is_paused(now) && needed > position_;
+    }
+    /// Returns whether the database was behind what a read needed lately.
+    [[nodiscard]] bool is_paused(base::clock::time_point now) const noexcept { return now < behind_until_; }
+    [[nodiscard]] bool is_congested() const noexcept { return congestion_.is_congested(); }
     [[nodiscard]] base::clock::time_point last_answer() const noexcept { return last_answer_; }
 
     /// Statements of this daemon that are under way.
@@ -175,6 +188,8 @@
     base::clock::time_point last_answer_{};
     base::clock::time_point behind_until_{};
     base::clock::duration behind_pause_ = shortest_behind_pause;
+    base::log_position position_;
+    congestion_estimate congestion_;
 };
 
 } // namespace backends
--- a/libraries/backends/load_events.hpp
+++ b/libraries/backends/load_events.hpp
@@ -17,8 +17,15 @@
     "A connect to a database failed; further failures in a row are not logged."};
 inline constexpr base::event_definition connect_recovered{
     361, "connect_recovered", base::severity::info, "A connect to a database succeeded after failures."};
+inline constexpr base::event_definition statement_waited{
+    365, "statement_waited", base::severity::info,
+    "A statement waited long for a connection; what each database had under way is given."};
+inline constexpr base::event_definition database_condition_changed{
+    366, "database_condition_changed", base::severity::info,
+    "A database no longer accepts connections of this daemon, or does again."};
 
 /// Every definition above, for the test against the catalogue.
-inline constexpr std::array all{&hold_back_started, &hold_back_ended, &connect_failed, &connect_recovered};
+inline constexpr std::array all{&hold_back_started, &hold_back_ended, &connect_failed, &connect_recovered,
+                                &statement_waited, &database_condition_changed};
 
 } // namespace backends::load_events
--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <backends/congestion_estimate.hpp>
 #include <backends/database_load.hpp>
 #include <backends/database_member.hpp>
+#include <backends/load_events.hpp>
 #include <backends/position_history.hpp>
 #include <backends/primary_authority.hpp>
 #include <backends/primary_health.hpp>
@@ -111,6 +113,7 @@
         while (!waiting.result_) {
             co_await waiting.signal_.wait();
         }
+        log_long_wait(waiting);
         co_return std::move(*waiting.result_);
     }
 
@@ -130,6 +133,10 @@
         }
         if (reply.status_ == statement_status::done && reply.detail_.size() > 1) {
             durations_.note(now - sent_at);
+            granted.member_->note_duration(now - sent_at);
+        }
+        if (!granted.is_primary_ && reply.position_) {
+            granted.member_->note_position(*reply.position_);
         }
         if (granted.is_primary_ && reply.position_ &&
             is_usable_primary(granted.member_->listing()->id_, now)) {
@@ -251,26 +258,23 @@
         return queue_.empty() || waiting.need_.priority_ < queue_.begin()->first.first;
     }
 
-    [[nodiscard]] static std::uint32_t most_running(const member& one, std::uint32_t daemons) {
-        const auto slots = one.listing()->slots_;
-        // The databases' own queues stay short, so that the order here decides.
-        return std::max({2U, (slots + 1) / 2, (2 * slots + daemons - 1) / std::max(daemons, 1U)});
-    }
-
-    [[nodiscard]] database_load load_of(member& one, const ticket& waiting, bool has_fresh_position,
+    [[nodiscard]] database_load load_of(member& one, const ticket& waiting,
+                                        const std::optional<base::log_position>& needed,
                                         base::clock::time_point now) const {
         const auto& listing = one.listing();
         database_load load;
         load.id_ = listing->id_;
         load.is_primary_ = is_usable_primary(listing->id_, now);
-        const bool is_replica_allowed = waiting.need_.placement_ == placement::any_fresh &&
-                                        has_fresh_position && listing->id_ != view_->primary_ &&
-                                        listing->state_ == listed_state::ready && !one.is_behind(now);
+        const bool is_replica_allowed = waiting.need_.placement_ == placement::any_fresh && needed &&
+                                        listing->id_ != view_->primary_ &&
+                                        listing->state_ == listed_state::ready &&
+                                        !one.is_behind(*needed, now);
         load.is_eligible_ = (load.is_primary_ || is_replica_allowed) && !one.is_failing() &&
                             !waiting.need_.excluded_.contains(listing->id_);
         load.is_same_failure_domain_ = listing->failure_domain_ == failure_domain_;
         load.running_ = one.running_;
-        load.most_running_ = most_running(one, view_->daemons_);
+        load.most_running_ =
+            most_statements(listing->slots_, view_->daemons_, waiting.need_.priority_, one.is_congested());
         if (load.is_eligible_) {
             load.has_idle_connection_ = one.has_idle();
             load.may_open_ = one.may_open(now);
@@ -290,7 +294,7 @@
             found.needed_ = positions_.needed_for(waiting.need_.staleness_, waiting.need_.own_commit_, now);
         }
         for (const auto& [id, one] : members_) {
-            found.loads_.push_back(load_of(*one, waiting, found.needed_.has_value(), now));
+            found.loads_.push_back(load_of(*one, waiting, found.needed_, now));
             found.members_.push_back(one);
         }
         return found;
@@ -364,11 +368,46 @@
     [[nodiscard]] std::uint32_t capacity() const {
         std::uint32_t slots = 0;
         for (const auto& [id, one] : members_) {
-            slots += one->is_failing() ? 0 : most_running(*one, view_->daemons_);
+            const auto most = most_statements(one->listing()->slots_, view_->daemons_, 1, one->is_congested());
+            slots += one->is_failing() ? 0 : most;
         }
         return std::max(slots, 1U);
     }
 
+    void log_long_wait(const ticket& waiting) const {
+        const auto now = base::clock::now();
+        const auto waited = now - waiting.queued_at_;
+        if (waited < waiting.need_.objective_ / 4) {
+            return;
+        }
+        std::string databases;
+        for (const auto& [id, one] : members_) {
+            databases.append(id)
+                .append(id == view_->primary_ ? "(primary) running=" : " running=")
+                .append(std::to_string(one->running_))
+                .append(" used=" + std::to_string(one->used_connections()))
+                .append(" open=" + std::to_string(one->open_connections()))
+                .append(one->is_failing() ? " failing" : "")
+                .append(one->is_congested() ? " congested" : "")
+                .append(one->is_paused(now) ? " behind; " : "; ");
+        }
+        base::log_event(load_events::statement_waited,
+                        {{"service", view_->service_},
+                         {"priority", std::to_string(waiting.need_.priority_)},
+                         {"waited_ms", std::to_string(waited.count())},
+                         {"queue", std::to_string(queue_.size())},
+                         {"granted", waiting.result_->is_granted() ? "yes" : "no"},
+                         {"mean_ms", std::to_string(static_cast<int>(durations_.mean_ms()))},
+                         {"databases", databases}});
+    }
+
+    void log_condition(const member& one, const char* state, const std::string& reason) const {
+        base::log_event(load_events::database_condition_changed, {{"service", view_->service_},
+                                                                  {"database", one.listing()->id_},
+                                                                  {"state", state},
+                                                                  {"reason", reason}});
+    }
+
     /// Grants what can be granted, in the order of the queue.
     void dispatch(base::clock::time_point now) {
         std::vector<ticket*> granted;
@@ -408,10 +447,16 @@
             if (position && self->is_usable_primary(one->listing()->id_, now)) {
                 self->positions_.note(*position, asked_at);
             }
+            if (one->is_failing()) {
+                self->log_condition(*one, "answers", {});
+            }
             one->add(std::move(opened), now);
         } else if (failure.status_ == statement_status::connection_limit) {
             one->note_refused(now);
         } else {
+            if (!one->is_failing()) {
+                self->log_condition(*one, "failing", failure.detail_);
+            }
             one->note_open_failed(now);
         }
         self->dispatch(now);
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -1,3 +1,4 @@
+#include <backends/congestion_estimate.hpp>
 #include <backends/connection_content.hpp>
 #include <backends/connection_share.hpp>
 #include <backends/database_load.hpp>
@@ -242,6 +243,33 @@
     EXPECT_EQ(backends::choose_promotion(state).step_, backends::promotion_step::order);
 }
 
+// Guards against urgent statements that wait at a database behind others that this daemon sent there.
+TEST(most_statements, LeavesTheUrgentPriorityASlotMore) {
+    for (const auto slots : {1U, 2U, 5U, 20U}) {
+        for (const auto is_congested : {false, true}) {
+            EXPECT_GT(backends::most_statements(slots, 5, 0, is_congested),
+                      backends::most_statements(slots, 5, 1, is_congested));
+            EXPECT_GE(backends::most_statements(slots, 5, 1, is_congested), 1U);
+        }
+    }
+}
+
+TEST(congestion_estimate, SeesThatStatementsTakeMuchLongerThanUsual) {
+    backends::congestion_estimate estimate;
+    for (int index = 0; index < 100; ++index) {
+        estimate.note(ms(10));
+    }
+    EXPECT_FALSE(estimate.is_congested());
+    for (int index = 0; index < 100; ++index) {
+        estimate.note(ms(40));
+    }
+    EXPECT_TRUE(estimate.is_congested());
+    for (int index = 0; index < 200; ++index) {
+        estimate.note(ms(10));
+    }
+    EXPECT_FALSE(estimate.is_congested());
+}
+
 TEST(wait_estimate, GrowsWithTheQueueAndShrinksWithCapacity) {
     backends::wait_estimate estimate;
     for (int index = 0; index < 200; ++index) {
