Proxy: Let evidence last 2.5 s and refuse sooner what no database may serve

Change: evidence lasts 2.5 s and is renewed every 0.5 s (by the store for the holder, by the holder for the others); in rounds without the store a process that has not read it yet counts as having begun nothing; refusals come after an eighth of the objective.

--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -344,7 +344,7 @@
             return "no connection in time";
         }
         const auto waited = now - waiting.queued_at_;
-        if (waited <= waiting.need_.objective_ / 5) {
+        if (waited <= waiting.need_.objective_ / patience_divisor) {
             return {};
         }
         const auto loads = candidates_for(waiting, now).loads_;
@@ -478,6 +478,9 @@
         }
     }
 
+    // Time for a new connection after a broken one. While no database may serve it, a statement is worth more to
+    // its client refused at once than late.
+    static constexpr int patience_divisor = 8;
     // Several times the longest statement of today's services.
     static constexpr base::clock::duration silence_before_probe{200};
 
--- a/libraries/daemons/primary_evidence.hpp
+++ b/libraries/daemons/primary_evidence.hpp
@@ -11,7 +11,7 @@
 struct evidence_limits {
     /// A takeover waits this long for a daemon that does not answer, so it bounds the gap after a host and a
     /// primary fail together; it also bounds how long primaries are used while nothing can be asked.
-    base::clock::duration valid_for_{4'000};
+    base::clock::duration valid_for_{2'500};
     /// For how long after the last sight of the store rounds among the known daemons count.
     base::clock::duration rounds_for_{12'000};
 
--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -279,9 +279,9 @@
 
     static constexpr base::clock::duration call_timeout{700};
     // A fifth of the life of evidence, so that a lost call or two cost nothing.
-    static constexpr base::clock::duration period{800};
+    static constexpr base::clock::duration period{500};
     // Two questions to the holder that went unanswered.
-    static constexpr base::clock::duration fresh_evidence{1'700};
+    static constexpr base::clock::duration fresh_evidence{1'200};
     // Bounds the age of the list of registered daemons.
     static constexpr base::clock::duration longest_period{6'000};
     // One poll that failed and a second one that has not been answered.
--- a/libraries/proxy/peer_talk.hpp
+++ b/libraries/proxy/peer_talk.hpp
@@ -289,7 +289,12 @@
     }
 
     void take_answer(const daemons::fleet_message_fields& reply, base::clock::time_point now) {
-        if (!control_.registered_at_ || reply.known_run_ != control_.run_) {
+        if (!control_.registered_at_) {
+            return;
+        }
+        // A process that has not read the store yet has begun nothing, and the one before it at its address ended.
+        const bool is_fresh_process = reply.known_run_ == 0 && !reply.evidence_age_;
+        if (reply.known_run_ != control_.run_ && !is_fresh_process) {
             return;
         }
         if (reply.number_ == holder_question_.number_ && reply.evidence_age_) {
@@ -347,10 +352,10 @@
 
     static constexpr base::clock::duration receive_retry_pause{20};
     // Two questions to the holder that went unanswered; then all peers are asked.
-    static constexpr base::clock::duration old_evidence{1'900};
-    static constexpr base::clock::duration holder_period{700};
+    static constexpr base::clock::duration old_evidence{1'400};
+    static constexpr base::clock::duration holder_period{400};
     static constexpr base::clock::duration hasty_period{150};
-    static constexpr base::clock::duration calm_period{250};
+    static constexpr base::clock::duration calm_period{200};
     // Tells the holder of the duty which daemons are alive.
     static constexpr base::clock::duration liveness_period{2'000};
     static constexpr base::clock::duration recent_sight{600};
