Backends: Count a database's silence from the statement; open fewer connections

A connection is also no longer opened only for the failure domain, and where the share is large more idle ones are kept.

--- a/libraries/backends/connection_share.hpp
+++ b/libraries/backends/connection_share.hpp
@@ -22,6 +22,9 @@
     [[nodiscard]] bool may_open(std::uint32_t open, base::clock::time_point now) const noexcept;
     /// Returns whether an idle connection should be handed back soon.
     [[nodiscard]] bool is_above_share(std::uint32_t open) const noexcept { return open > share_; }
+    /// Returns how many idle connections are kept for long. Half of the share stays free, because a database
+    /// counts the connections of a host that lost power for some seconds more.
+    [[nodiscard]] std::uint32_t kept_idle() const noexcept { return share_ > 2 ? share_ / 2 : 1; }
     /// Returns the state after the database refused a connection.
     [[nodiscard]] connection_share after_refusal(base::clock::time_point now) const noexcept;
     /// Returns the same state for other limits.
--- a/libraries/backends/database_load.cpp
+++ b/libraries/backends/database_load.cpp
@@ -12,6 +12,13 @@
     return database.running_ + reserve < database.most_running_;
 }
 
+// A connection costs the database a slot for a while, so a better place is worth one only if it spares the
+// primary, or evens out the load, or has none yet.
+bool is_worth_a_connection(const database_load& better, const database_load& at_hand) {
+    return (at_hand.is_primary_ && !better.is_primary_) || better.running_ < at_hand.running_ ||
+           better.connections_ == 0;
+}
+
 auto cost_of(const database_load& database) {
     return std::tuple{database.is_primary_, database.running_, !database.is_same_failure_domain_};
 }
@@ -45,10 +52,12 @@
             choice.open_at_ = index;
         }
     }
-    // A connection is opened only for a database that is a better place than the one at hand.
-    if (choice.run_at_ && choice.open_at_ &&
-        !(cost_of(databases[*choice.open_at_]) < cost_of(databases[*choice.run_at_]))) {
-        choice.open_at_.reset();
+    if (choice.run_at_ && choice.open_at_) {
+        const auto& at_hand = databases[*choice.run_at_];
+        const auto& better = databases[*choice.open_at_];
+        if (!(cost_of(better) < cost_of(at_hand)) || !is_worth_a_connection(better, at_hand)) {
+            choice.open_at_.reset();
+        }
     }
     return choice;
 }
--- a/libraries/backends/database_load.hpp
+++ b/libraries/backends/database_load.hpp
@@ -21,6 +21,8 @@
     bool has_idle_connection_ = false;
     /// Whether another connection may be opened.
     bool may_open_ = false;
+    /// Connections that are open or being opened.
+    std::uint32_t connections_ = 0;
     /// Statements of this daemon that are under way there.
     std::uint32_t running_ = 0;
     /// Statements that this daemon keeps under way there at most.
--- a/libraries/backends/database_member.hpp
+++ b/libraries/backends/database_member.hpp
@@ -120,14 +120,13 @@
         }
     }
 
-    /// Closes idle connections that other daemons, or this one after a restart, may need: a database counts the
-    /// connections of a host that lost power for some seconds more. One is kept.
+    /// Closes idle connections that other daemons, or this one after a restart, may need. Some are kept.
     void close_idle(base::clock::time_point now) {
         auto left = idle_.size();
         std::erase_if(idle_, [this, now, &left](const auto& one) {
             const auto idle_for = now - one->idle_since();
             const bool is_above = share_.is_above_share(open_connections());
-            const auto limit = left == 1 ? longest_idle : (is_above ? surplus_idle : spare_idle);
+            const auto limit = left <= share_.kept_idle() ? longest_idle : (is_above ? surplus_idle : spare_idle);
             if (idle_for <= limit) {
                 return false;
             }
@@ -162,8 +161,19 @@
     [[nodiscard]] bool is_congested() const noexcept { return congestion_.is_congested(); }
     [[nodiscard]] base::clock::time_point last_answer() const noexcept { return last_answer_; }
 
-    /// Statements of this daemon that are under way.
-    std::uint32_t running_ = 0;
+    /// Notes that a statement is under way from now on.
+    void begin_statement(base::clock::time_point now) noexcept {
+        busy_since_ = running_ == 0 ? now : busy_since_;
+        ++running_;
+    }
+    /// Notes that a statement is no longer under way. Precondition: one is.
+    void end_statement() noexcept { --running_; }
+    /// Returns how many statements of this daemon are under way.
+    [[nodiscard]] std::uint32_t running() const noexcept { return running_; }
+    /// Returns for how long statements have been under way without any answer.
+    [[nodiscard]] base::clock::duration silent_for(base::clock::time_point now) const noexcept {
+        return running_ == 0 ? base::clock::duration{0} : now - std::max(last_answer_, busy_since_);
+    }
 
 private:
     static constexpr base::clock::duration shortest_pause{60};
@@ -181,6 +191,8 @@
     connection_share share_;
     std::vector<connection_pointer> idle_;
     std::set<connection_pointer> used_;
+    std::uint32_t running_ = 0;
+    base::clock::time_point busy_since_{};
     std::uint32_t opening_ = 0;
     std::uint32_t failures_ = 0;
     std::optional<base::clock::time_point> failing_since_;
--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -145,9 +145,11 @@
     }
 
     /// Counts a further statement as under way on a granted connection, or no longer.
-    void begin_statement(const grant& granted) { ++granted.member_->running_; }
+    void begin_statement(const grant& granted) {
+        granted.member_->begin_statement(base::clock::now());
+    }
     void end_statement(const grant& granted) {
-        --granted.member_->running_;
+        granted.member_->end_statement();
         dispatch(base::clock::now());
     }
 
@@ -272,12 +274,13 @@
         load.is_eligible_ = (load.is_primary_ || is_replica_allowed) && !one.is_failing() &&
                             !waiting.need_.excluded_.contains(listing->id_);
         load.is_same_failure_domain_ = listing->failure_domain_ == failure_domain_;
-        load.running_ = one.running_;
+        load.running_ = one.running();
         load.most_running_ =
             most_statements(listing->slots_, view_->daemons_, waiting.need_.priority_, one.is_congested());
         if (load.is_eligible_) {
             load.has_idle_connection_ = one.has_idle();
             load.may_open_ = one.may_open(now);
+            load.connections_ = one.open_connections();
         }
         return load;
     }
@@ -320,7 +323,7 @@
             granted.member_ = std::move(chosen);
             if (granted.connection_) {
                 // Counted from here on, or the next statement would be given the same slot.
-                ++granted.member_->running_;
+                granted.member_->begin_statement(now);
                 return granted;
             }
         }
@@ -384,7 +387,7 @@
         for (const auto& [id, one] : members_) {
             databases.append(id)
                 .append(id == view_->primary_ ? "(primary) running=" : " running=")
-                .append(std::to_string(one->running_))
+                .append(std::to_string(one->running()))
                 .append(" used=" + std::to_string(one->used_connections()))
                 .append(" open=" + std::to_string(one->open_connections()))
                 .append(one->is_failing() ? " failing" : "")
@@ -470,7 +473,7 @@
     }
 
     void probe_if_silent(const member_pointer& one, base::clock::time_point now) {
-        const bool is_silent = one->running_ > 0 && now - one->last_answer() > silence_before_probe;
+        const bool is_silent = one->silent_for(now) > silence_before_probe;
         const bool is_failing_primary = one->is_failing() && one->listing()->id_ == view_->primary_;
         if ((is_silent || is_failing_primary || (one->is_failing() && !queue_.empty())) &&
             one->opening() == 0 && one->may_open(now)) {
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -177,6 +177,26 @@
     EXPECT_EQ(choice.open_at_, 1U);
 }
 
+// Guards against a new connection for every statement that a database in the own failure domain could serve.
+TEST(choose_database, OpensNoFurtherConnectionOnlyForTheFailureDomain) {
+    auto near = load("near", false, 0);
+    near.has_idle_connection_ = false;
+    near.may_open_ = true;
+    near.is_same_failure_domain_ = true;
+    near.connections_ = 1;
+    EXPECT_EQ(backends::choose_database({load("far", false, 0), near}).open_at_, std::nullopt);
+    near.connections_ = 0;
+    EXPECT_EQ(backends::choose_database({load("far", false, 0), near}).open_at_, 1U);
+    near.connections_ = 1;
+    EXPECT_EQ(backends::choose_database({load("far", false, 1), near}).open_at_, 1U);
+}
+
+TEST(connection_share, KeepsAFewIdleConnections) {
+    EXPECT_EQ((backends::connection_share{16, 5}.kept_idle()), 1U);
+    EXPECT_EQ((backends::connection_share{50, 5}.kept_idle()), 4U);
+    EXPECT_EQ((backends::connection_share{46, 37}.kept_idle()), 1U);
+}
+
 TEST(choose_database, TellsWhenNoDatabaseMayServe) {
     auto one = load("p", true, 0);
     one.is_eligible_ = false;
