--- a/libraries/backends/connection_share.hpp
+++ b/libraries/backends/connection_share.hpp
@@ -7,10 +7,15 @@
 
 namespace backends {
 
+/// Whether statements have waited long enough to go beyond the share.
+enum class connection_pressure : std::uint8_t { none, waiting };
+
 /// How many connections to one database this daemon may hold.
 ///
-/// A database takes a fixed number from all daemons. A daemon may always use its equal share; beyond that it
-/// tries as long as the database does not refuse, and keeps to what it has for a while after a refusal.
+/// A database takes a fixed number from all daemons. The equal shares add up to a part of it only: a database
+/// counts the connections of hosts that lost power for some seconds more, and the daemons that start again
+/// need some meanwhile. A daemon goes beyond its share for statements that have waited, as long as the database
+/// does not refuse, and keeps to what it has for a while after a refusal.
 /// Thread safety: immutable value.
 class connection_share {
 public:
@@ -19,11 +24,11 @@
     connection_share(std::uint32_t most_connections, std::uint32_t daemons) noexcept;
 
     /// Returns whether another connection may be opened by a daemon that holds `open` of them.
-    [[nodiscard]] bool may_open(std::uint32_t open, base::clock::time_point now) const noexcept;
+    [[nodiscard]] bool may_open(std::uint32_t open, connection_pressure pressure,
+                                base::clock::time_point now) const noexcept;
     /// Returns whether an idle connection should be handed back soon.
     [[nodiscard]] bool is_above_share(std::uint32_t open) const noexcept { return open > share_; }
-    /// Returns how many idle connections are kept for long. Half of the share stays free, because a database
-    /// counts the connections of a host that lost power for some seconds more.
+    /// Returns how many idle connections are kept for long.
     [[nodiscard]] std::uint32_t kept_idle() const noexcept { return share_ > 2 ? share_ / 2 : 1; }
     /// Returns the state after the database refused a connection.
     [[nodiscard]] connection_share after_refusal(base::clock::time_point now) const noexcept;
--- a/libraries/backends/database_member.hpp
+++ b/libraries/backends/database_member.hpp
@@ -136,9 +136,10 @@
         });
     }
 
-    [[nodiscard]] bool may_open(base::clock::time_point now) const noexcept {
+    [[nodiscard]] bool may_open(connection_pressure pressure, base::clock::time_point now) const noexcept {
         const auto most_opening = failing_since_ ? 1U : most_opening_at_once;
-        return opening_ < most_opening && now >= next_open_ && share_.may_open(open_connections(), now);
+        return opening_ < most_opening && now >= next_open_ &&
+               share_.may_open(open_connections(), pressure, now);
     }
     [[nodiscard]] bool has_idle() const noexcept { return !idle_.empty(); }
     [[nodiscard]] std::uint32_t open_connections() const noexcept {
--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -279,7 +279,10 @@
             most_statements(listing->slots_, view_->daemons_, waiting.need_.priority_, one.is_congested());
         if (load.is_eligible_) {
             load.has_idle_connection_ = one.has_idle();
-            load.may_open_ = one.may_open(now);
+            const auto pressure = now - waiting.queued_at_ >= wait_before_pressure
+                                      ? connection_pressure::waiting
+                                      : connection_pressure::none;
+            load.may_open_ = one.may_open(pressure, now);
             load.connections_ = one.open_connections();
         }
         return load;
@@ -467,7 +470,7 @@
 
     /// A connection that broke says little of the database; a fresh one shows whether it still answers.
     void note_lost(const grant& granted, base::clock::time_point now) {
-        if (granted.member_->opening() == 0 && granted.member_->may_open(now)) {
+        if (granted.member_->opening() == 0 && granted.member_->may_open(connection_pressure::waiting, now)) {
             start_opening(granted.member_);
         }
     }
@@ -476,11 +479,13 @@
         const bool is_silent = one->silent_for(now) > silence_before_probe;
         const bool is_failing_primary = one->is_failing() && one->listing()->id_ == view_->primary_;
         if ((is_silent || is_failing_primary || (one->is_failing() && !queue_.empty())) &&
-            one->opening() == 0 && one->may_open(now)) {
+            one->opening() == 0 && one->may_open(connection_pressure::waiting, now)) {
             start_opening(one);
         }
     }
 
+    // A statement under way ends within this time on most days, and its connection is free again.
+    static constexpr base::clock::duration wait_before_pressure{10};
     // Time for a new connection after a broken one. While no database may serve it, a statement is worth more to
     // its client refused at once than late.
     static constexpr int patience_divisor = 8;
