Proxy: Log what decided about each statement, and measure latency by service and priority

Each line has the client's id, the database, the demanded position, attempts, waits, the configuration's version and what is left of the evidence; each request thread writes 100 lines a second about statements that were done and 200 about others, and counts the rest.

--- a/libraries/backends/congestion_estimate.hpp
+++ b/libraries/backends/congestion_estimate.hpp
@@ -42,7 +42,7 @@
 /// The most urgent priority may always use one slot more than the others, so that it does not wait behind
 /// them here; the others get half as many while the database's own queue is long. Precondition: `daemons` and
 /// `slots` are positive.
-[[nodiscard]] std::uint32_t most_statements(std::uint32_t slots, std::uint32_t daemons, std::uint32_t priority,
-                                            bool is_congested) noexcept;
+[[nodiscard]] std::uint32_t most_statements(std::uint32_t slots, std::uint32_t daemons,
+                                            std::uint32_t priority, bool is_congested) noexcept;
 
 } // namespace backends
--- a/libraries/backends/connection_share.cpp
+++ b/libraries/backends/connection_share.cpp
@@ -14,8 +14,9 @@
 } // namespace
 
 connection_share::connection_share(std::uint32_t most_connections, std::uint32_t daemons) noexcept
-    : most_{std::max(most_connections, 1U)},
-      share_{std::max((most_ * shared_percent / 100 + daemons / 2) / std::max(daemons, 1U), 1U)} {}
+    : most_{std::max(most_connections, 1U)}, share_{std::max((most_ * shared_percent / 100 + daemons / 2) /
+                                                                 std::max(daemons, 1U),
+                                                             1U)} {}
 
 bool connection_share::may_open(std::uint32_t open, connection_pressure pressure,
                                 base::clock::time_point now) const noexcept {
--- a/libraries/backends/connection_share.hpp
+++ b/libraries/backends/connection_share.hpp
@@ -14,9 +14,9 @@
 ///
 /// A database takes a fixed number from all daemons. The equal shares add up to a part of it only: a database
 /// counts the connections of hosts that lost power for some seconds more, and the daemons that start again
-/// need some meanwhile. A daemon goes beyond its share for statements that have waited, as long as the database
-/// does not refuse, and keeps to what it has for a while after a refusal.
-/// Thread safety: immutable value.
+/// need some meanwhile. A daemon goes beyond its share for statements that have waited, as long as the
+/// database does not refuse, and keeps to what it has for a while after a refusal. Thread safety: immutable
+/// value.
 class connection_share {
 public:
     connection_share() = default;
--- a/libraries/backends/load_events.hpp
+++ b/libraries/backends/load_events.hpp
@@ -25,7 +25,7 @@
     "A database no longer accepts connections of this daemon, or does again."};
 
 /// Every definition above, for the test against the catalogue.
-inline constexpr std::array all{&hold_back_started, &hold_back_ended, &connect_failed, &connect_recovered,
-                                &statement_waited, &database_condition_changed};
+inline constexpr std::array all{&hold_back_started, &hold_back_ended,  &connect_failed,
+                                &connect_recovered, &statement_waited, &database_condition_changed};
 
 } // namespace backends::load_events
--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -40,6 +40,8 @@
     std::optional<base::log_position> needed_;
     /// Why there is no connection.
     std::string refusal_;
+    /// Time in the queue.
+    base::clock::duration waited_{0};
 
     [[nodiscard]] bool is_granted() const noexcept { return connection_ != nullptr; }
 };
@@ -114,6 +116,7 @@
             co_await waiting.signal_.wait();
         }
         log_long_wait(waiting);
+        waiting.result_->waited_ = base::clock::now() - waiting.queued_at_;
         co_return std::move(*waiting.result_);
     }
 
@@ -145,9 +148,7 @@
     }
 
     /// Counts a further statement as under way on a granted connection, or no longer.
-    void begin_statement(const grant& granted) {
-        granted.member_->begin_statement(base::clock::now());
-    }
+    void begin_statement(const grant& granted) { granted.member_->begin_statement(base::clock::now()); }
     void end_statement(const grant& granted) {
         granted.member_->end_statement();
         dispatch(base::clock::now());
@@ -267,10 +268,9 @@
         database_load load;
         load.id_ = listing->id_;
         load.is_primary_ = is_usable_primary(listing->id_, now);
-        const bool is_replica_allowed = waiting.need_.placement_ == placement::any_fresh && needed &&
-                                        listing->id_ != view_->primary_ &&
-                                        listing->state_ == listed_state::ready &&
-                                        !one.is_behind(*needed, now);
+        const bool is_replica_allowed =
+            waiting.need_.placement_ == placement::any_fresh && needed && listing->id_ != view_->primary_ &&
+            listing->state_ == listed_state::ready && !one.is_behind(*needed, now);
         load.is_eligible_ = (load.is_primary_ || is_replica_allowed) && !one.is_failing() &&
                             !waiting.need_.excluded_.contains(listing->id_);
         load.is_same_failure_domain_ = listing->failure_domain_ == failure_domain_;
@@ -374,7 +374,8 @@
     [[nodiscard]] std::uint32_t capacity() const {
         std::uint32_t slots = 0;
         for (const auto& [id, one] : members_) {
-            const auto most = most_statements(one->listing()->slots_, view_->daemons_, 1, one->is_congested());
+            const auto most =
+                most_statements(one->listing()->slots_, view_->daemons_, 1, one->is_congested());
             slots += one->is_failing() ? 0 : most;
         }
         return std::max(slots, 1U);
@@ -486,8 +487,8 @@
 
     // A statement under way ends within this time on most days, and its connection is free again.
     static constexpr base::clock::duration wait_before_pressure{10};
-    // Time for a new connection after a broken one. While no database may serve it, a statement is worth more to
-    // its client refused at once than late.
+    // Time for a new connection after a broken one. While no database may serve it, a statement is worth more
+    // to its client refused at once than late.
     static constexpr int patience_divisor = 8;
     // Several times the longest statement of today's services.
     static constexpr base::clock::duration silence_before_probe{200};
--- a/libraries/backends/statement_reply.hpp
+++ b/libraries/backends/statement_reply.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <base/clock.hpp>
 #include <base/log_position.hpp>
 
 #include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace backends {
@@ -57,6 +60,22 @@
 /// Whether a transaction is open on a connection.
 enum class transaction_state : std::uint8_t { none, open, failed };
 
+/// What decided about a statement, for the log.
+struct statement_trace {
+    /// The database that gave the last answer; empty when none was asked.
+    std::string database_;
+    /// The position that was demanded of a replica.
+    std::optional<base::log_position> needed_;
+    std::uint32_t attempts_ = 0;
+    /// Time in this daemon's queue, over all attempts.
+    base::clock::duration waited_{0};
+
+    friend auto operator<=>(const statement_trace&, const statement_trace&) = default;
+};
+
+/// Returns the status as it stands in the log.
+[[nodiscard]] std::string_view name_of(statement_status status) noexcept;
+
 /// The answer to one statement.
 struct statement_reply {
     statement_status status_ = statement_status::unknown;
@@ -66,6 +85,7 @@
     transaction_state state_ = transaction_state::none;
     /// Where the database's log stood.
     std::optional<base::log_position> position_;
+    statement_trace trace_;
 
     friend auto operator<=>(const statement_reply&, const statement_reply&) = default;
 };
@@ -73,7 +93,7 @@
 /// Returns a reply without rows.
 [[nodiscard]] inline statement_reply make_reply(statement_status status, std::string detail,
                                                 transaction_state state) {
-    return {status, {}, std::move(detail), state, std::nullopt};
+    return {status, {}, std::move(detail), state, std::nullopt, {}};
 }
 
 } // namespace backends
--- a/libraries/backends/statement_runner.hpp
+++ b/libraries/backends/statement_runner.hpp
@@ -92,12 +92,13 @@
               outgoing_statement statement, const session_settings& session,
               std::optional<transaction>& opened) {
         attempt_counts counts;
+        statement_trace trace;
         for (;;) {
             auto need_now = need;
             auto granted = co_await group->acquire(std::move(need_now), session);
+            note_attempt(trace, granted);
             if (!granted.is_granted()) {
-                co_return make_reply(statement_status::overloaded, granted.refusal_,
-                                     transaction_state::failed);
+                co_return traced(statement_status::overloaded, granted.refusal_, trace);
             }
             auto begun = co_await begin(granted, access, statement, need.give_up_at_, session);
             if (begun.status_ == statement_status::done && begun.state_ == transaction_state::open) {
@@ -107,6 +108,7 @@
                 if (started.grant_.connection_) {
                     opened = std::move(started);
                 }
+                reply.trace_ = trace;
                 co_return reply;
             }
             const auto sent_at = base::clock::now();
@@ -119,7 +121,8 @@
             ++counts.refused_;
             // Nothing of the transaction has run, whatever became of its begin.
             if (counts.refused_ > most_begin_attempts || base::clock::now() >= need.give_up_at_) {
-                co_return make_reply(statement_status::aborted, begun.detail_, transaction_state::failed);
+                co_return traced(statement_status::aborted,
+                                 std::string{"begin: "}.append(name_of(begun.status_)), trace);
             }
             if (need.placement_ == placement::primary_only) {
                 co_await http::sleep_for(pause_before_retry);
@@ -211,6 +214,19 @@
     }
 
 private:
+    static void note_attempt(statement_trace& trace, const grant& granted) {
+        ++trace.attempts_;
+        trace.waited_ += granted.waited_;
+        trace.needed_ = granted.needed_;
+        trace.database_ = granted.is_granted() ? granted.connection_->database() : std::string{};
+    }
+
+    static statement_reply traced(statement_status status, std::string detail, statement_trace trace) {
+        auto reply = make_reply(status, std::move(detail), transaction_state::none);
+        reply.trace_ = std::move(trace);
+        return reply;
+    }
+
     enum class counted : std::uint8_t { already, not_yet };
 
     struct message_batch {
--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -10,6 +10,7 @@
 #include <operators/session_routes.hpp>
 #include <proxy/events.hpp>
 #include <proxy/session_shared.hpp>
+#include <proxy/statement_recorder.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -39,8 +40,9 @@
 requires group_directory<Directory, Protocol>
 class client_session : public std::enable_shared_from_this<client_session<Protocol, Directory>> {
 public:
-    client_session(boost::asio::ip::tcp::socket socket, Directory& directory, session_shared& shared)
-        : socket_{std::move(socket)}, directory_{directory}, shared_{shared} {
+    client_session(boost::asio::ip::tcp::socket socket, Directory& directory, session_shared& shared,
+                   statement_recorder& recorder)
+        : socket_{std::move(socket)}, directory_{directory}, shared_{shared}, recorder_{recorder} {
         socket_.set_unacknowledged_limit(client_silence);
     }
 
@@ -148,8 +150,11 @@
             co_await send_reply(std::move(reply));
             co_return false;
         }
-        auto held = std::move(*statement);
-        auto reply = co_await decide(std::move(held));
+        const auto held = *statement;
+        const auto started_at = base::clock::now();
+        auto reply = co_await decide(held);
+        const auto took = base::clock::now() - started_at;
+        note_outcome(*held, reply, took);
         co_return co_await send_reply(std::move(reply));
     }
 
@@ -410,7 +415,6 @@
     }
 
     [[nodiscard]] boost::asio::awaitable<bool> send_reply(reply_type reply) {
-        count(reply);
         auto lines = Protocol::encode_reply(reply);
         return send(std::move(lines));
     }
@@ -419,26 +423,62 @@
         return socket_.write(std::move(lines));
     }
 
-    void count(const reply_type& reply) {
+    /// Counts a statement and writes its line of the log.
+    void note_outcome(const callers::statement_fields& statement, const reply_type& reply,
+                      base::clock::duration took) {
+        const bool is_local =
+            reply.trace_.attempts_ == 0 && reply.status_ == backends::statement_status::done;
+        count(reply.status_);
+        if (is_local) {
+            return;
+        }
+        recorder_.record(route_ ? (*route_)->service_ : std::string{}, priority_name(), reply.status_, took);
+        const bool is_done = reply.status_ == backends::statement_status::done;
+        if (!recorder_.may_log(reply.status_)) {
+            return;
+        }
+        const auto& trace = reply.trace_;
+        std::string needed{"-"};
+        if (trace.needed_) {
+            needed = std::to_string(trace.needed_->term()) + "." + std::to_string(trace.needed_->index());
+        }
+        const auto version = shared_.routes_.read([](const auto& routes) { return routes->version_; });
+        const auto evidence = shared_.authority_.until() - base::clock::now();
+        base::log_event(is_done ? events::statement_done : events::statement_not_done,
+                        {{"id", statement.id_},
+                         {"database", database_},
+                         {"service", route_ ? (*route_)->service_ : "-"},
+                         {"status", std::string{backends::name_of(reply.status_)}},
+                         {"at", trace.database_.empty() ? "-" : trace.database_},
+                         {"needed", needed},
+                         {"attempts", std::to_string(trace.attempts_)},
+                         {"waited_ms", std::to_string(trace.waited_.count())},
+                         {"took_ms", std::to_string(took.count())},
+                         {"configuration", std::to_string(version)},
+                         {"evidence_left_ms", std::to_string(evidence.count())},
+                         {"detail", is_done ? std::string{"-"} : reply.detail_}});
+    }
+
+    [[nodiscard]] std::string priority_name() const {
+        return route_ ? "priority_" + std::to_string((*route_)->priority_) : std::string{"none"};
+    }
+
+    void count(backends::statement_status status) {
         auto& counters = shared_.counters_;
-        switch (reply.status_) {
+        switch (status) {
         case backends::statement_status::done:
             counters.statements_done_.fetch_add(1, std::memory_order_relaxed);
             return;
         case backends::statement_status::unknown:
         case backends::statement_status::timed_out:
             counters.statements_unknown_.fetch_add(1, std::memory_order_relaxed);
-            break;
+            return;
         case backends::statement_status::overloaded:
             counters.statements_refused_.fetch_add(1, std::memory_order_relaxed);
-            break;
+            return;
         default:
             counters.statements_failed_.fetch_add(1, std::memory_order_relaxed);
         }
-        base::log_event(events::statement_not_done,
-                        {{"database", database_},
-                         {"status", std::to_string(static_cast<int>(reply.status_))},
-                         {"detail", reply.detail_}});
     }
 
     // Clients give a session up that has not started after two seconds.
@@ -450,6 +490,7 @@
     http::line_socket socket_;
     Directory& directory_;
     session_shared& shared_;
+    statement_recorder& recorder_;
     std::string database_;
     callers::session_values values_;
     callers::session_phase phase_ = callers::session_phase::idle;
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -99,7 +99,7 @@
     [[nodiscard]] boost::asio::awaitable<void> stop_using(std::string service, std::string database,
                                                           base::clock::duration grace) {
         auto& owner = groups_.owner_of(service);
-        auto work = stop_at(owner, std::move(service), std::move(database), grace);
+        auto work = stop_at(owner, service, database, grace);
         co_await boost::asio::co_spawn(owner.executor(), std::move(work), boost::asio::use_awaitable);
     }
 
@@ -167,7 +167,7 @@
                                                 base::clock::duration grace) {
         // The view with the open record was posted before, so the group has it already.
         const auto group = here.find_or_make(service);
-        co_await group->stop_using(std::move(database), grace);
+        co_await group->stop_using(database, grace);
     }
 
     static boost::asio::awaitable<std::vector<backends::primary_health>> healths_at(table& here) {
--- a/libraries/proxy/events.hpp
+++ b/libraries/proxy/events.hpp
@@ -61,6 +61,11 @@
 inline constexpr base::event_definition transaction_given_up{
     131, "transaction_given_up", severity::info,
     "A transaction was rolled back because it rested too long or the daemon stops."};
+inline constexpr base::event_definition statement_done{
+    132, "statement_done", severity::info, "A statement was answered by a database; what decided is given."};
+inline constexpr base::event_definition lines_dropped{
+    133, "lines_dropped", severity::warning,
+    "Lines about statements were left out of the log in the last while; the counters have them all."};
 inline constexpr base::event_definition takeover_begun{140, "takeover_begun", severity::warning,
                                                        "The holder of the duty replaces a primary."};
 inline constexpr base::event_definition takeover_step{
@@ -103,6 +108,8 @@
                                 &service_changed,
                                 &statement_not_done,
                                 &transaction_given_up,
+                                &statement_done,
+                                &lines_dropped,
                                 &takeover_begun,
                                 &takeover_step,
                                 &takeover_settled,
--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Gives the duty up when the store has not answered for a while, so that a daemon that reaches it can go on.
-    /// Returns the token of a duty that was given up just now.
+    /// Gives the duty up when the store has not answered for a while, so that a daemon that reaches it can go
+    /// on. Returns the token of a duty that was given up just now.
     [[nodiscard]] std::optional<std::uint64_t> resign_if_cut_off(base::clock::time_point now) {
         const bool is_cut_off = control_.duty_ && now - control_.duty_->verified_at_ > resignation_delay &&
                                 control_.orders_under_way_ == 0;
@@ -102,8 +102,8 @@
         std::string duty_holder_;
     };
 
-    /// The holder of the duty reads the store all the time; the others rest on its word as long as it is fresh,
-    /// so that the load on the store does not grow with the fleet.
+    /// The holder of the duty reads the store all the time; the others rest on its word as long as it is
+    /// fresh, so that the load on the store does not grow with the fleet.
     boost::asio::awaitable<void> wait_until_due() {
         const auto last = base::clock::now();
         for (;;) {
@@ -266,8 +266,7 @@
         if (!result || !result->applied_) {
             co_return;
         }
-        control_.duty_ =
-            held_duty{result->revision_, *lease, asked_at, base::clock::now(), has_resigned};
+        control_.duty_ = held_duty{result->revision_, *lease, asked_at, base::clock::now(), has_resigned};
         base::log_event(events::duty_changed,
                         {{"held", "yes"}, {"token", std::to_string(result->revision_)}});
     }
--- a/libraries/proxy/peer_talk.hpp
+++ b/libraries/proxy/peer_talk.hpp
@@ -292,7 +292,8 @@
         if (!control_.registered_at_) {
             return;
         }
-        // A process that has not read the store yet has begun nothing, and the one before it at its address ended.
+        // A process that has not read the store yet has begun nothing, and the one before it at its address
+        // ended.
         const bool is_fresh_process = reply.known_run_ == 0 && !reply.evidence_age_;
         if (reply.known_run_ != control_.run_ && !is_fresh_process) {
             return;
--- a/libraries/proxy/session_daemon.hpp
+++ b/libraries/proxy/session_daemon.hpp
@@ -110,7 +110,11 @@
                                                           std::size_t /*connection*/) const {
             http::response_fields answer;
             answer.headers_ = {{"Content-Type", "text/plain; version=0.0.4"}};
-            answer.body_ = session_metrics_text(daemon_->shared_, base::clock::now());
+            std::map<base::metric_key, base::latency_buckets> latencies;
+            for (const auto& one : daemon_->workers_) {
+                one->collect(latencies);
+            }
+            answer.body_ = session_metrics_text(daemon_->shared_, latencies, base::clock::now());
             co_return http::response{std::move(answer)};
         }
     };
--- a/libraries/proxy/session_metrics.cpp
+++ b/libraries/proxy/session_metrics.cpp
@@ -1,6 +1,10 @@
 #include <proxy/session_metrics.hpp>
 
+#include <base/metric_family.hpp>
+#include <base/prometheus_text.hpp>
+
 #include <string_view>
+#include <vector>
 
 namespace proxy {
 
@@ -17,7 +21,9 @@
 
 } // namespace
 
-std::string session_metrics_text(const session_shared& shared, base::clock::time_point now) {
+std::string session_metrics_text(const session_shared& shared,
+                                 const std::map<base::metric_key, base::latency_buckets>& latencies,
+                                 base::clock::time_point now) {
     const auto& counters = shared.counters_;
     std::string text;
     append_metric(text, "sassafrasdeal_sessions_opened_total", "counter",
@@ -36,7 +42,8 @@
     append_metric(text, "sassafrasdeal_evidence_left_ms", "gauge", (shared.authority_.until() - now).count());
     const auto version = shared.routes_.read([](const auto& routes) { return routes->version_; });
     append_metric(text, "sassafrasdeal_configuration_version", "gauge", static_cast<std::int64_t>(version));
-    return text;
+    const std::vector<base::metric_family> families{base::request_metrics(latencies)};
+    return text.append(base::encode_prometheus_text(families));
 }
 
 } // namespace proxy
--- a/libraries/proxy/session_worker.hpp
+++ b/libraries/proxy/session_worker.hpp
@@ -7,6 +7,7 @@
 #include <proxy/client_session.hpp>
 #include <proxy/group_table.hpp>
 #include <proxy/session_shared.hpp>
+#include <proxy/statement_recorder.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,6 +18,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -63,6 +65,11 @@
         boost::asio::co_spawn(context_, look_after(), boost::asio::detached);
     }
 
+    /// Adds the latency histograms of this thread to `totals`. Thread safety: any thread.
+    void collect(std::map<base::metric_key, base::latency_buckets>& totals) const {
+        recorder_.collect(totals);
+    }
+
     void set_drain_step(drain_step step) noexcept { drain_step_ = step; }
     [[nodiscard]] std::size_t open_sessions() const noexcept { return sessions_.size(); }
 
@@ -77,7 +84,7 @@
                 co_await http::sleep_for(accept_retry_pause);
                 continue;
             }
-            auto created = std::make_shared<session>(std::move(*accepted), directory_, shared_);
+            auto created = std::make_shared<session>(std::move(*accepted), directory_, shared_, recorder_);
             sessions_.push_back(created);
             shared_.counters_.sessions_opened_.fetch_add(1, std::memory_order_relaxed);
             shared_.counters_.sessions_open_.fetch_add(1, std::memory_order_relaxed);
@@ -99,6 +106,7 @@
             const auto now = base::clock::now();
             if (now >= next_sessions || drain_step_ != drain_step::serving) {
                 look_after_sessions(now);
+                recorder_.report_dropped();
                 next_sessions = now + session_period;
             }
             co_await http::sleep_for(is_busy ? busy_period : calm_period);
@@ -142,6 +150,7 @@
     boost::asio::io_context context_{1};
     group_table<Protocol> table_;
     service_directory<Protocol> directory_;
+    statement_recorder recorder_;
     std::optional<http::listener> listener_;
     std::list<std::shared_ptr<session>> sessions_;
     drain_step drain_step_ = drain_step::serving;
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -286,7 +286,8 @@
             co_await http::sleep_for(stop_period);
             const auto missing = peers_.not_stopped(current.record_);
             const auto now = base::clock::now();
-            // A daemon may have registered since the last read, and used the primary before the record was there.
+            // A daemon may have registered since the last read, and used the primary before the record was
+            // there.
             const bool is_list_fresh = control_.fleet_read_at_ >= current.recorded_at_;
             if (!is_list_fresh) {
                 control_.poll_soon_.notify_all();
--- a/tests/backends/test_database_member.cpp
+++ b/tests/backends/test_database_member.cpp
@@ -21,8 +21,8 @@
     return member{backends::database_listing{fields}, backends::connection_share{16, 5}};
 }
 
-// Guards against a probe for every statement after a quiet moment: silence counts from the statement, not from
-// the last answer. Seen on the bench as 500 new connections a second before 24 databases.
+// Guards against a probe for every statement after a quiet moment: silence counts from the statement, not
+// from the last answer. Seen on the bench as 500 new connections a second before 24 databases.
 TEST(database_member, CountsSilenceFromTheStatement) {
     auto one = make_member();
     one.note_success(at(1'000));
