--- a/libraries/backends/statement_connection.hpp
+++ b/libraries/backends/statement_connection.hpp
@@ -51,7 +51,7 @@
     [[nodiscard]] static boost::asio::awaitable<pointer> open(boost::asio::any_io_executor executor,
                                                               database_listing database,
                                                               connection_times times, open_failure& failure) {
-        auto created = pointer{new statement_connection{std::move(executor), database->id_}};
+        auto created = pointer{new statement_connection{executor, database->id_}};
         auto& socket = created->socket_;
         if (!co_await socket.connect(database->address_, times.open_, times.unacknowledged_)) {
             failure = {statement_status::unknown, "no connection to " + database->address_.to_string()};
@@ -122,8 +122,8 @@
     void set_idle_since(base::clock::time_point now) noexcept { idle_since_ = now; }
 
 private:
-    statement_connection(boost::asio::any_io_executor executor, std::string database)
-        : socket_{std::move(executor)}, database_{std::move(database)} {}
+    statement_connection(const boost::asio::any_io_executor& executor, std::string database)
+        : socket_{executor}, database_{std::move(database)} {}
 
     /// Reads the lines of one answer. The connection is closed if they end early.
     [[nodiscard]] boost::asio::awaitable<statement_reply> read_reply() {
--- a/libraries/backends/statement_runner.hpp
+++ b/libraries/backends/statement_runner.hpp
@@ -159,17 +159,17 @@
         group.end_statement(current.grant_);
         group.release(current.grant_);
         reply.state_ = transaction_state::none;
+        reply.trace_ = pinned_trace(connection);
         if (!was_open) {
-            co_return make_reply(statement_status::aborted, "the transaction's connection was closed",
-                                 transaction_state::none);
+            co_return traced(statement_status::aborted, "the transaction's connection was closed",
+                             reply.trace_);
         }
         if (reply.status_ == statement_status::done && !may_acknowledge) {
-            co_return make_reply(statement_status::unknown, "the primary may have been replaced",
-                                 transaction_state::none);
+            co_return traced(statement_status::unknown, "the primary may have been replaced", reply.trace_);
         }
         if (has_not_run(reply.status_)) {
             connection.close();
-            co_return make_reply(statement_status::aborted, reply.detail_, transaction_state::none);
+            co_return traced(statement_status::aborted, reply.detail_, reply.trace_);
         }
         co_return answer_of(std::move(reply), connection);
     }
@@ -221,6 +221,14 @@
         trace.database_ = granted.is_granted() ? granted.connection_->database() : std::string{};
     }
 
+    /// Returns the trace of a statement that runs where its transaction was begun.
+    static statement_trace pinned_trace(const statement_connection<Protocol>& connection) {
+        statement_trace trace;
+        trace.database_ = connection.database();
+        trace.attempts_ = 1;
+        return trace;
+    }
+
     static statement_reply traced(statement_status status, std::string detail, statement_trace trace) {
         auto reply = make_reply(status, std::move(detail), transaction_state::none);
         reply.trace_ = std::move(trace);
@@ -345,6 +353,7 @@
             group.note_answer(granted, reply, sent_at);
         }
         group.end_statement(granted);
+        reply.trace_ = pinned_trace(connection);
         if (reply.status_ == statement_status::done && reply.state_ == transaction_state::open) {
             current.has_written_ = current.has_written_ || statement.effect_ == statement_effect::writes;
             co_return reply;
@@ -353,8 +362,8 @@
             group.release(granted);
             current.grant_.connection_.reset();
             // The commit was not sent, so the database rolls back whatever the statement did.
-            co_return make_reply(statement_status::aborted, "the transaction's connection was lost",
-                                 transaction_state::failed);
+            co_return traced(statement_status::aborted, "the transaction's connection was lost",
+                             reply.trace_);
         }
         reply.state_ = transaction_state::failed;
         if (has_not_run(reply.status_)) {
