--- a/libraries/operators/file_format.cpp
+++ b/libraries/operators/file_format.cpp
@@ -93,6 +93,11 @@
                     "Time from SIGTERM until the process is killed."},
 };
 
+constexpr std::array database_use_keys{
+    key_description{"leaving_ms", value_type::milliseconds, necessity::optional, "7000", 1'000, hour_ms,
+                    "How long a database may be used after it began to leave or its entry was removed."},
+};
+
 constexpr std::array session_sections{
     section_description{"daemon", section_form::single, necessity::required, value_type::name,
                         session_daemon_keys, "The daemon itself."},
@@ -108,6 +113,8 @@
                         "Where the platform's store answers (HTTP)."},
     section_description{"promotion", section_form::single, necessity::required, value_type::name,
                         address_keys, "Where the platform takes promotion orders (HTTP)."},
+    section_description{"databases", section_form::single, necessity::optional, value_type::name,
+                        database_use_keys, "How databases are used."},
     section_description{"stop", section_form::single, necessity::optional, value_type::name, stop_keys,
                         "How the daemon stops."},
 };
--- a/libraries/operators/session_settings.cpp
+++ b/libraries/operators/session_settings.cpp
@@ -28,6 +28,8 @@
     fields.promotion_address_ = address_in(file, "promotion");
     const auto grace = file.section_of("stop").value_of<std::uint64_t>("grace_s");
     fields.grace_ = grace > 0 ? base::clock::duration{grace} : fields.grace_;
+    const auto leaving = file.section_of("databases").value_of<std::uint64_t>("leaving_ms");
+    fields.leaving_ = leaving > 0 ? base::clock::duration{leaving} : fields.leaving_;
     return fields;
 }
 
--- a/libraries/operators/session_settings.hpp
+++ b/libraries/operators/session_settings.hpp
@@ -26,6 +26,8 @@
     base::endpoint promotion_address_;
     /// From SIGTERM until the process is killed.
     base::clock::duration grace_{6'000};
+    /// How long a database may be used after it began to leave or its entry was removed.
+    base::clock::duration leaving_{7'000};
 
     friend auto operator<=>(const session_settings_fields&, const session_settings_fields&) = default;
     friend bool operator==(const session_settings_fields&, const session_settings_fields&) = default;
--- a/libraries/proxy/fleet_knowledge.cpp
+++ b/libraries/proxy/fleet_knowledge.cpp
@@ -6,13 +6,6 @@
 
 namespace proxy {
 
-namespace {
-
-// The platform brings entries back within about two seconds of the store's return.
-constexpr base::clock::duration vanished_grace{2'600};
-
-} // namespace
-
 void fleet_knowledge::set_databases(const std::vector<backends::database_listing>& databases,
                                     base::clock::time_point now) {
     std::set<std::string> listed;
@@ -39,10 +32,10 @@
     }
 }
 
-bool fleet_knowledge::forget_vanished(base::clock::time_point now) {
-    return std::erase_if(databases_, [now](const auto& entry) {
+bool fleet_knowledge::forget_vanished(base::clock::duration grace, base::clock::time_point now) {
+    return std::erase_if(databases_, [grace, now](const auto& entry) {
                const auto& since = entry.second.vanished_at_;
-               return since && now - *since >= vanished_grace;
+               return since && now - *since >= grace;
            }) > 0;
 }
 
--- a/libraries/proxy/fleet_knowledge.hpp
+++ b/libraries/proxy/fleet_knowledge.hpp
@@ -24,8 +24,8 @@
     /// Notes that an entry is gone. Its database stays known for a while, because entries that lapsed during
     /// an outage of the store come back.
     void note_vanished(const std::string& id, base::clock::time_point now);
-    /// Forgets databases whose entries have been gone for long. Returns whether there were any.
-    bool forget_vanished(base::clock::time_point now);
+    /// Forgets databases whose entries have been gone for `grace`. Returns whether there were any.
+    bool forget_vanished(base::clock::duration grace, base::clock::time_point now);
 
     /// Takes over a takeover record if it is newer than the known one. Returns whether it is.
     bool adopt(const daemons::takeover_record& record);
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -40,7 +40,10 @@
         for (;;) {
             co_await control_.collect_healths();
             const auto now = base::clock::now();
-            if (control_.knowledge_.forget_vanished(now)) {
+            // An entry may lapse although its database lives and serves; one that does not come back in most
+            // of the time that a leaving database is given counts as gone.
+            const auto grace = control_.settings_->leaving_ * 3 / 4;
+            if (control_.knowledge_.forget_vanished(grace, now)) {
                 control_.publish();
             }
             bool is_suspecting = false;
--- /dev/null
+++ b/tests/proxy/test_fleet_knowledge.cpp
@@ -0,0 +1,87 @@
+#include <proxy/fleet_knowledge.hpp>
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace {
+
+base::clock::time_point at(std::int64_t milliseconds) {
+    return base::clock::time_point{base::clock::duration{milliseconds}};
+}
+
+constexpr base::clock::duration grace{5'000};
+
+backends::database_listing listing(std::string id, backends::listed_role role) {
+    backends::database_listing_fields fields;
+    fields.id_ = std::move(id);
+    fields.service_ = "svc";
+    fields.role_ = role;
+    return backends::database_listing{std::move(fields)};
+}
+
+daemons::takeover_record record(daemons::takeover_phase phase, std::string chosen, std::uint64_t revision) {
+    return daemons::takeover_record{
+        daemons::takeover_record_fields{"svc", phase, "i-1", std::move(chosen), revision}};
+}
+
+proxy::fleet_knowledge make_knowledge() {
+    proxy::fleet_knowledge knowledge;
+    knowledge.set_databases(
+        {listing("i-1", backends::listed_role::primary), listing("i-2", backends::listed_role::replica)},
+        at(0));
+    return knowledge;
+}
+
+TEST(fleet_knowledge, TakesThePrimaryFromTheListBeforeTheFirstTakeover) {
+    const auto view = make_knowledge().view_of("svc", 16);
+    EXPECT_EQ(view->primary_, "i-1");
+    EXPECT_EQ(view->primary_state_, backends::primary_state::usable);
+}
+
+TEST(fleet_knowledge, KnowsNoPrimaryWhileTwoDatabasesSayThatTheyLead) {
+    auto knowledge = make_knowledge();
+    knowledge.note_database(listing("i-2", backends::listed_role::primary));
+    EXPECT_EQ(knowledge.view_of("svc", 16)->primary_state_, backends::primary_state::unknown);
+}
+
+// Guards against a replaced primary that is used because it still says that it leads.
+TEST(fleet_knowledge, FollowsTheRecordAndNotWhatADatabaseSaysOfItself) {
+    auto knowledge = make_knowledge();
+    EXPECT_TRUE(knowledge.adopt(record(daemons::takeover_phase::open, "", 5)));
+    EXPECT_EQ(knowledge.view_of("svc", 16)->primary_state_, backends::primary_state::being_replaced);
+    EXPECT_TRUE(knowledge.adopt(record(daemons::takeover_phase::settled, "i-2", 7)));
+    EXPECT_EQ(knowledge.view_of("svc", 16)->primary_, "i-2");
+    EXPECT_EQ(knowledge.view_of("svc", 16)->primary_state_, backends::primary_state::usable);
+}
+
+// Guards against an older record, told by a peer that is behind, that brings a replaced primary back.
+TEST(fleet_knowledge, NeverGoesBackToAnOlderRecord) {
+    auto knowledge = make_knowledge();
+    EXPECT_TRUE(knowledge.adopt(record(daemons::takeover_phase::settled, "i-2", 7)));
+    EXPECT_FALSE(knowledge.adopt(record(daemons::takeover_phase::open, "", 5)));
+    EXPECT_EQ(knowledge.view_of("svc", 16)->primary_, "i-2");
+}
+
+// Guards against a service without a primary because the entry of a database that lives has lapsed. Seen in
+// the incident lumipaiva inc-e1bb: the entry was back after 3.4 s, and the primary had been forgotten
+// after 2.6 s.
+TEST(fleet_knowledge, KeepsADatabaseWhoseEntryIsGoneForAWhile) {
+    auto knowledge = make_knowledge();
+    knowledge.note_vanished("i-1", at(1'000));
+    knowledge.note_vanished("i-1", at(2'000));
+    EXPECT_FALSE(knowledge.forget_vanished(grace, at(5'999)));
+    EXPECT_EQ(knowledge.view_of("svc", 16)->primary_, "i-1");
+    EXPECT_TRUE(knowledge.forget_vanished(grace, at(6'000)));
+    EXPECT_EQ(knowledge.view_of("svc", 16)->primary_, "");
+}
+
+TEST(fleet_knowledge, ForgetsThatAnEntryWasGoneWhenItIsBack) {
+    auto knowledge = make_knowledge();
+    knowledge.set_databases({listing("i-2", backends::listed_role::replica)}, at(1'000));
+    EXPECT_EQ(knowledge.vanished_since("i-1"), at(1'000));
+    knowledge.note_database(listing("i-1", backends::listed_role::primary));
+    EXPECT_FALSE(knowledge.forget_vanished(grace, at(60'000)));
+}
+
+} // namespace
