--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -282,7 +282,7 @@
     // Two questions to the holder that went unanswered.
     static constexpr base::clock::duration fresh_evidence{1'200};
     // Bounds the age of the list of registered daemons.
-    static constexpr base::clock::duration longest_period{6'000};
+    static constexpr base::clock::duration longest_period{12'000};
     // One poll that failed and a second one that has not been answered.
     static constexpr base::clock::duration resignation_delay{1'300};
     static constexpr base::clock::duration renewal_period{600};
--- a/libraries/proxy/retry_pause.hpp
+++ b/libraries/proxy/retry_pause.hpp
@@ -36,8 +36,8 @@
     }
 
 private:
-    // The store's return has to be noticed within a second: what lapsed meanwhile is back within two.
-    static constexpr platform::backoff_limits limits{base::clock::duration{60}, base::clock::duration{800}};
+    // Refused calls have a price too; what lapsed meanwhile is back within two seconds of the store's return.
+    static constexpr platform::backoff_limits limits{base::clock::duration{60}, base::clock::duration{1'500}};
 
     std::string call_;
     platform::reconnect_backoff backoff_{limits};
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -162,7 +162,7 @@
     // A store that refuses watches and answers reads must not be asked in a loop.
     static constexpr base::clock::duration pause_after_watch{120};
     // Well below the second that a change of primary takes.
-    static constexpr base::clock::duration change_pause{100};
+    static constexpr base::clock::duration change_pause{200};
     static constexpr base::clock::duration first_configuration_poll{250};
 
     control_context<Platform>& control_;
