Proxy: Take a refused order as final only when no earlier one may take effect

Change: a refusal counts only when no order of this daemon or the holder before may take effect any more (3 s), and stopping the use of a primary closes the connections to every database that is listed as one. Ruled out by the logs: a daemon that did not stop, a record of a lower revision.

--- a/libraries/backends/position_history.cpp
+++ b/libraries/backends/position_history.cpp
@@ -49,8 +49,4 @@
     return std::max(*fresh, *own);
 }
 
-std::optional<base::clock::duration> position_history::age(base::clock::time_point now) const {
-    return samples_.empty() ? std::nullopt : std::optional{now - samples_.back().asked_at_};
-}
-
 } // namespace backends
--- a/libraries/backends/position_history.hpp
+++ b/libraries/backends/position_history.hpp
@@ -33,9 +33,6 @@
     /// Forgets everything, because the primary may have changed.
     void clear() noexcept { samples_.clear(); }
 
-    /// Returns the age of the newest position, or nothing.
-    [[nodiscard]] std::optional<base::clock::duration> age(base::clock::time_point now) const;
-
 private:
     struct sample {
         base::clock::time_point asked_at_;
--- a/libraries/backends/promotion_choice.cpp
+++ b/libraries/backends/promotion_choice.cpp
@@ -4,6 +4,17 @@
 
 namespace backends {
 
+namespace {
+
+// A promotion takes a second on the platforms of today; three cover one that is slow to start.
+constexpr base::clock::duration longest_promotion{3'000};
+
+} // namespace
+
+bool is_refusal_final(std::optional<base::clock::duration> since_earlier_order) noexcept {
+    return !since_earlier_order || *since_earlier_order > longest_promotion;
+}
+
 promotion_choice choose_promotion(const promotion_state& state) {
     if (state.ordered_ && !state.is_ordered_refused_) {
         const auto step = state.is_ordered_leading_ ? promotion_step::settle : promotion_step::order;
--- a/libraries/backends/promotion_choice.hpp
+++ b/libraries/backends/promotion_choice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <backends/database_line.hpp>
+#include <base/clock.hpp>
 #include <base/log_position.hpp>
 
 #include <compare>
@@ -61,4 +62,9 @@
 /// the replica that has received most is chosen. Thread safety: pure.
 [[nodiscard]] promotion_choice choose_promotion(const promotion_state& state);
 
+/// Returns whether a refusal of an order shows that the ordered database will not lead. It does not while an
+/// earlier order for it, of this daemon or of the holder before, may still take effect: the platform refuses
+/// a second order in the meantime. `since_earlier_order` is empty when there was none. Thread safety: pure.
+[[nodiscard]] bool is_refusal_final(std::optional<base::clock::duration> since_earlier_order) noexcept;
+
 } // namespace backends
--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -353,10 +353,8 @@
         if (waited <= waiting.need_.objective_ / patience_divisor) {
             return {};
         }
-        const auto loads = candidates_for(waiting, now).loads_;
-        const bool has_candidate =
-            std::any_of(loads.begin(), loads.end(), [](const auto& one) { return one.is_eligible_; });
-        return has_candidate ? std::string{} : std::string{"no database may serve it now"};
+        const auto choice = choose_database(candidates_for(waiting, now).loads_);
+        return choice.has_none_ ? std::string{"no database may serve it now"} : std::string{};
     }
 
     [[nodiscard]] static base::clock::duration most_wait(const ticket& waiting) {
--- a/libraries/http/line_socket.cpp
+++ b/libraries/http/line_socket.cpp
@@ -148,11 +148,6 @@
     state_->socket_.close(ignored);
 }
 
-void line_socket::finish() noexcept {
-    boost::system::error_code ignored;
-    state_->socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-}
-
 bool line_socket::has_pending_input() const noexcept {
     if (consumed_ < input_.size()) {
         return true;
--- a/libraries/http/line_socket.hpp
+++ b/libraries/http/line_socket.hpp
@@ -52,8 +52,6 @@
     [[nodiscard]] bool has_given_up() const noexcept { return state_->has_given_up_; }
 
     void close() noexcept;
-    /// Ends the sending side, so that bytes sent before reach the peer.
-    void finish() noexcept;
     [[nodiscard]] bool is_open() const noexcept { return state_->socket_.is_open(); }
     /// Returns whether bytes or the end of the connection have arrived that were not read yet.
     [[nodiscard]] bool has_pending_input() const noexcept;
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -167,6 +167,13 @@
                                                 base::clock::duration grace) {
         // The view with the open record was posted before, so the group has it already.
         const auto group = here.find_or_make(service);
+        // A primary that has started again may be listed under another name.
+        const auto view = group->view();
+        for (const auto& one : view->databases_) {
+            if (one->role_ == backends::listed_role::primary && one->id_ != database) {
+                co_await group->stop_using(one->id_, base::clock::duration{0});
+            }
+        }
         co_await group->stop_using(database, grace);
     }
 
--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -143,7 +143,8 @@
             co_return co_await register_daemon(present_revision);
         }
         if (!control_.registered_at_) {
-            // Dated at the answer: a delayed write may have registered this daemon after the question was sent.
+            // Dated at the answer: a delayed write may have registered this daemon after the question was
+            // sent.
             control_.registered_at_ = base::clock::now();
         }
         control_.fleet_read_at_ = asked_at;
--- a/libraries/proxy/fleet_view.hpp
+++ b/libraries/proxy/fleet_view.hpp
@@ -4,7 +4,6 @@
 #include <base/immutable.hpp>
 
 #include <compare>
-#include <functional>
 #include <map>
 #include <string>
 
--- a/libraries/proxy/session_worker.hpp
+++ b/libraries/proxy/session_worker.hpp
@@ -71,7 +71,6 @@
     }
 
     void set_drain_step(drain_step step) noexcept { drain_step_ = step; }
-    [[nodiscard]] std::size_t open_sessions() const noexcept { return sessions_.size(); }
 
 private:
     using session = client_session<Protocol, service_directory<Protocol>>;
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -74,6 +74,8 @@
         daemons::takeover_record record_;
         /// When the record was known to be in the store.
         base::clock::time_point recorded_at_{};
+        /// When the present target may last have been ordered to lead, by this daemon or the holder before.
+        std::optional<base::clock::time_point> ordered_at_;
     };
 
     [[nodiscard]] bool holds_duty(base::clock::time_point now) const {
@@ -385,6 +387,7 @@
         backends::promotion_state state;
         if (current.record_->phase_ == daemons::takeover_phase::promoting) {
             state.ordered_ = current.record_->chosen_;
+            current.ordered_at_ = base::clock::now();
         }
         if (const auto found = final_positions_.find(current.service_); found != final_positions_.end()) {
             state.final_position_ = found->second;
@@ -428,6 +431,9 @@
         if (!holds_duty(base::clock::now())) {
             co_return;
         }
+        if (state.ordered_ != chosen) {
+            current.ordered_at_.reset();
+        }
         state.ordered_ = chosen;
         state.is_ordered_refused_ = false;
         backends::promotion_order order{current.service_, chosen, control_.settings_->name_,
@@ -436,16 +442,23 @@
         const auto outcome = co_await promoter_.promote(std::move(order));
         --control_.orders_under_way_;
         log_step(current, "promote", chosen + " outcome " + std::to_string(static_cast<int>(outcome)));
-        if (outcome == backends::promotion_outcome::refused) {
-            state.is_ordered_refused_ = true;
-            state.refused_.insert(chosen);
+        const auto now = base::clock::now();
+        if (outcome == backends::promotion_outcome::not_sent) {
+            co_await http::sleep_for(promote_poll);
+            co_return;
         }
-        if (outcome == backends::promotion_outcome::accepted ||
-            outcome == backends::promotion_outcome::answer_lost) {
-            state.is_ordered_leading_ = co_await wait_for_lead(chosen);
+        if (outcome == backends::promotion_outcome::refused) {
+            const auto since = current.ordered_at_ ? std::optional{now - *current.ordered_at_} : std::nullopt;
+            if (backends::is_refusal_final(since)) {
+                state.is_ordered_refused_ = true;
+                state.refused_.insert(chosen);
+                co_await http::sleep_for(promote_poll);
+                co_return;
+            }
         } else {
-            co_await http::sleep_for(promote_poll);
+            current.ordered_at_ = now;
         }
+        state.is_ordered_leading_ = co_await wait_for_lead(chosen);
     }
 
     /// Waits until a database leads, at most for some seconds. Returns whether it does.
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -253,6 +253,15 @@
               (backends::promotion_choice{backends::promotion_step::order, "b"}));
 }
 
+// Guards against a second database that is chosen because the platform refuses to repeat an order that is
+// about to take effect.
+TEST(is_refusal_final, IsNotFinalWhileAnEarlierOrderMayTakeEffect) {
+    EXPECT_TRUE(backends::is_refusal_final(std::nullopt));
+    EXPECT_FALSE(backends::is_refusal_final(ms(0)));
+    EXPECT_FALSE(backends::is_refusal_final(ms(2'500)));
+    EXPECT_TRUE(backends::is_refusal_final(ms(60'000)));
+}
+
 TEST(choose_promotion, SettlesOnlyOnTheOrderedDatabase) {
     backends::promotion_state state;
     state.ordered_ = "a";
--- a/tests/operators/test_files.cpp
+++ b/tests/operators/test_files.cpp
@@ -269,8 +269,8 @@
 // Guards against a page that lacks a key or states another type, range, default or meaning than is checked.
 TEST(operator_files, the_page_describes_every_key) {
     const auto page = samples::read_source_file("docs/operators.md");
-    for (const auto* format :
-         {&operators::daemon_settings_format(), &operators::service_declaration_format()}) {
+    for (const auto* format : {&operators::daemon_settings_format(), &operators::session_settings_format(),
+                               &operators::service_declaration_format()}) {
         for (const auto& section : format->sections_) {
             for (const auto& key : section.keys_) {
                 const auto preset = key.necessity_ == operators::necessity::required ? "required"
--- /dev/null
+++ b/tests/operators/test_session_settings.cpp
@@ -0,0 +1,76 @@
+#include <operators/problem.hpp>
+#include <operators/session_settings.hpp>
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace {
+
+const std::string complete = R"([daemon]
+name = frontend-1
+failure_domain = zg-centar
+threads = 2
+[clients]
+address = 10.1.0.8:8784
+[readiness]
+address = 10.1.0.8:8785
+[peers]
+address = 10.1.0.8:7440
+[metrics]
+address = 10.1.0.8:7455
+[store]
+address = 10.200.1.7:8783
+[promotion]
+address = 10.200.0.160:8783
+[databases]
+leaving_ms = 10000
+[stop]
+grace_s = 6.5
+)";
+
+std::string without(const std::string& line) {
+    auto text = complete;
+    text.erase(text.find(line), line.size() + 1);
+    return text;
+}
+
+TEST(session_settings, ReadsEveryKey) {
+    const auto read = operators::read_session_settings(complete, "local.ini");
+    ASSERT_TRUE(read.value_) << to_string(read.problems_.front());
+    const auto& settings = *read.value_;
+    EXPECT_EQ(settings->name_, "frontend-1");
+    EXPECT_EQ(settings->threads_, 2U);
+    EXPECT_EQ(settings->peer_address_.to_string(), "10.1.0.8:7440");
+    EXPECT_EQ(settings->grace_, base::clock::duration{6'500});
+    EXPECT_EQ(settings->leaving_, base::clock::duration{10'000});
+}
+
+// Guards against a daemon that starts with half of its settings.
+TEST(session_settings, NamesWhatIsMissing) {
+    for (const auto* line :
+         {"name = frontend-1", "address = 10.200.1.7:8783", "failure_domain = zg-centar"}) {
+        const auto read = operators::read_session_settings(without(line), "local.ini");
+        EXPECT_FALSE(read.value_) << line;
+        EXPECT_EQ(read.problems_.size(), 1U) << line;
+    }
+}
+
+TEST(session_settings, RefusesSecondsThatAreNone) {
+    for (const auto* wrong :
+         {"grace_s = soon", "grace_s = -1", "grace_s = nan", "grace_s = 0.1", "grace_s ="}) {
+        auto text = complete;
+        text.replace(text.find("grace_s = 6.5"), std::string{"grace_s = 6.5"}.size(), wrong);
+        EXPECT_FALSE(operators::read_session_settings(text, "local.ini").value_) << wrong;
+    }
+}
+
+TEST(session_settings, HasDefaultsForOptionalSections) {
+    auto text = complete.substr(0, complete.find("[databases]"));
+    const auto read = operators::read_session_settings(text, "local.ini");
+    ASSERT_TRUE(read.value_);
+    EXPECT_EQ((*read.value_)->grace_, base::clock::duration{6'000});
+    EXPECT_EQ((*read.value_)->leaving_, base::clock::duration{7'000});
+}
+
+} // namespace
