--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -253,10 +253,7 @@
                                                                    backends::outgoing_statement statement) {
         const auto give_up_at = base::clock::now() + route->timeout_;
         if (!transaction_) {
-            const auto effect = access_ == backends::transaction_access::read_only
-                                    ? backends::statement_effect::reads
-                                    : backends::statement_effect::writes;
-            auto need = need_for(*route, effect);
+            auto need = need_for(*route, transaction_effect());
             auto group = directory.group_of(route->service_);
             co_return co_await runner::run_first(std::move(group), std::move(need), access_,
                                                  std::move(statement), values_.values(), transaction_);
@@ -289,10 +286,7 @@
         has_written_ = transaction_ && transaction_->has_written_;
         if (!transaction_) {
             // An empty transaction is committed at a database too: a success carries its signature.
-            const auto effect = access_ == backends::transaction_access::read_only
-                                    ? backends::statement_effect::reads
-                                    : backends::statement_effect::writes;
-            auto need = need_for(*route, effect);
+            auto need = need_for(*route, transaction_effect());
             auto group = directory.group_of(route->service_);
             co_return co_await runner::commit_empty(std::move(group), std::move(need), access_,
                                                     std::move(outgoing), values_.values());
@@ -384,6 +378,11 @@
         return need;
     }
 
+    [[nodiscard]] backends::statement_effect transaction_effect() const noexcept {
+        return access_ == backends::transaction_access::read_only ? backends::statement_effect::reads
+                                                                  : backends::statement_effect::writes;
+    }
+
     /// Remembers the position of a commit, which later reads of the session have to see.
     void note_commit(const reply_type& reply) {
         if (reply.status_ == backends::statement_status::done && reply.position_) {
