--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -521,7 +521,8 @@
         platform::store_transaction change;
         change.expected_.push_back({std::string{fleet_keys::duty}, control_.duty_->token_});
         change.expected_.push_back({fleet_keys::daemon(entry.address_), entry.revision_});
-        if (!entry.is_marked_) {
+        const bool is_removal = entry.is_marked_;
+        if (!is_removal) {
             entry.is_marked_ = true;
             change.puts_.push_back({fleet_keys::daemon(entry.address_),
                                     daemons::encode_registration(daemons::registration{entry}), 0});
@@ -537,7 +538,7 @@
         const auto result = co_await store.change(std::move(change));
         if (result && result->applied_) {
             base::log_event(events::registration_changed,
-                            {{"daemon", entry.address_}, {"state", entry.is_marked_ ? "marked" : "removed"}});
+                            {{"daemon", entry.address_}, {"state", is_removal ? "removed" : "marked"}});
         }
     }
 
