--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -104,8 +104,10 @@
                                                         const std::map<std::string, std::string>& session) {
         const auto now = base::clock::now();
         ticket waiting{std::move(need), session, now};
-        if (auto granted = try_grant(waiting, now, queue_.empty() || is_first(waiting))) {
-            co_return std::move(*granted);
+        if (is_first(waiting)) {
+            if (auto granted = try_grant(waiting, now)) {
+                co_return std::move(*granted);
+            }
         }
         if (auto refused = refusal_on_arrival(waiting, now)) {
             co_return std::move(*refused);
@@ -307,11 +309,7 @@
     }
 
     /// Gives a connection if there is one now, and starts to open one where that helps.
-    [[nodiscard]] std::optional<grant> try_grant(const ticket& waiting, base::clock::time_point now,
-                                                 bool is_next) {
-        if (!is_next) {
-            return std::nullopt;
-        }
+    [[nodiscard]] std::optional<grant> try_grant(const ticket& waiting, base::clock::time_point now) {
         auto found = candidates_for(waiting, now);
         const auto choice = choose_database(found.loads_);
         if (choice.open_at_) {
@@ -336,7 +334,7 @@
     [[nodiscard]] std::optional<grant> refusal_on_arrival(const ticket& waiting,
                                                           base::clock::time_point now) const {
         const auto expected = durations_.wait_for(count_ahead(waiting), capacity());
-        if (now + expected < waiting.need_.give_up_at_ && expected < most_wait(waiting)) {
+        if (now + expected < waiting.need_.give_up_at_ && expected < waiting.need_.objective_) {
             return std::nullopt;
         }
         grant refused;
@@ -357,10 +355,6 @@
         return choice.has_none_ ? std::string{"no database may serve it now"} : std::string{};
     }
 
-    [[nodiscard]] static base::clock::duration most_wait(const ticket& waiting) {
-        return waiting.need_.objective_;
-    }
-
     [[nodiscard]] std::size_t count_ahead(const ticket& waiting) const {
         std::size_t ahead = 0;
         for (const auto& [key, other] : queue_) {
@@ -418,7 +412,7 @@
         std::vector<ticket*> granted;
         for (auto position = queue_.begin(); position != queue_.end();) {
             auto& waiting = *position->second;
-            auto result = try_grant(waiting, now, true);
+            auto result = try_grant(waiting, now);
             if (!result) {
                 ++position;
                 continue;
--- a/libraries/backends/statement_runner.hpp
+++ b/libraries/backends/statement_runner.hpp
@@ -53,20 +53,22 @@
     run_single(group_pointer group, statement_need need, outgoing_statement statement,
                const session_settings& session, std::uint32_t most_attempts) {
         attempt_counts counts;
+        statement_trace trace;
         for (;;) {
             auto need_now = need;
             auto granted = co_await group->acquire(std::move(need_now), session);
+            note_attempt(trace, granted);
             if (!granted.is_granted()) {
-                co_return make_reply(statement_status::overloaded, granted.refusal_, transaction_state::none);
+                co_return traced(statement_status::overloaded, granted.refusal_, trace);
             }
             auto reply = co_await run_granted(*group, granted, statement, need.give_up_at_, session);
             finish_single(*group, granted, reply);
+            reply.trace_ = trace;
             if (reply.status_ == statement_status::done) {
                 const bool is_lost_lead =
                     statement.effect_ == statement_effect::writes && !group->may_acknowledge(granted);
                 if (is_lost_lead) {
-                    co_return make_reply(statement_status::unknown, "the primary may have been replaced",
-                                         transaction_state::none);
+                    co_return traced(statement_status::unknown, "the primary may have been replaced", trace);
                 }
                 co_return reply;
             }
@@ -76,7 +78,7 @@
                 co_return answer_of(std::move(reply), *granted.connection_);
             }
             if (decision == retry_decision::refuse) {
-                co_return make_reply(statement_status::overloaded, reply.detail_, transaction_state::none);
+                co_return traced(statement_status::overloaded, reply.detail_, trace);
             }
             if (decision == retry_decision::pause) {
                 co_await http::sleep_for(pause_before_retry);
--- a/tests/proxy/session_fleet.cpp
+++ b/tests/proxy/session_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -223,6 +224,18 @@
     });
 }
 
+std::string session_fleet::metrics(std::size_t number) const {
+    asio::io_context context;
+    asio::ip::tcp::socket socket{context};
+    socket.connect(endpoint_of(client_port(number) + metrics_offset));
+    set_receive_limit(socket);
+    asio::write(socket, asio::buffer(std::string{"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"}));
+    std::string answer;
+    boost::system::error_code failure;
+    asio::read(socket, asio::dynamic_buffer(answer), failure);
+    return answer;
+}
+
 std::uint16_t session_fleet::client_port(std::size_t number) const {
     return static_cast<std::uint16_t>(first_port_ + daemon_offset + number * ports_of_daemon);
 }
--- a/tests/proxy/session_fleet.hpp
+++ b/tests/proxy/session_fleet.hpp
@@ -60,6 +60,8 @@
     [[nodiscard]] std::optional<int> wait_for_exit(std::size_t number);
     /// Returns whether a daemon becomes ready within some seconds.
     [[nodiscard]] bool becomes_ready(std::size_t number) const;
+    /// Returns the metrics of a daemon.
+    [[nodiscard]] std::string metrics(std::size_t number) const;
     [[nodiscard]] std::uint16_t client_port(std::size_t number) const;
 
     /// Runs a function on the thread of the stand-ins and waits for it.
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -193,6 +193,17 @@
     EXPECT_EQ(fleet.wait_for_exit(daemon), 0);
 }
 
+// Guards against statements outside transactions that are missing from the log and the latency histograms.
+TEST(session_daemon, MeasuresEachStatementThatADatabaseAnswers) {
+    session_fleet fleet{port_of_test(10)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    session_client client{fleet.client_port(daemon), "payouts"};
+    EXPECT_TRUE(client.run("STORE a 1").starts_with("COMPLETE sig."));
+    EXPECT_NE(fleet.metrics(daemon).find("sassafrasdeal_request_seconds_count"), std::string::npos);
+}
+
 // Guards against a new primary that is chosen, or an old one that is used, by daemons that lost the store:
 // writes are refused as not run once the evidence has lapsed, and served again afterwards.
 TEST(session_daemon, RefusesWritesWithoutEvidenceAndRecovers) {
