Backends: Settle on no primary whose promotion another database may have superseded

The report shows commits 1.132 and later at the first primary's restarted process, in term 1, after two promotions: the promotion of a replica took effect without the leader's knowledge, the replica went dark, and the platform refused to repeat the request. The leader turned to the previous primary, which could not reach its successor and so still reported its role. wait_until_primary took that role, of the old term, as proof that the promotion had taken effect, and all daemons used it while its successor led.

Change: once a promotion was requested, choose_promotion skips other databases that report themselves as primary, so a role that is seen after a request proves the request. If nothing else is left, the leader asks them to step down first. Before the first request such a database is the platform's primary and is accepted.

Ruled out: late writes of the record (conditional on its revision), leases (each acknowledgement checks lease and view; all daemons used the database at once, so the record named it).

Test: choose_promotion.SkipsAPrimaryOfAnEarlierTermAfterARefusedRequest fails before the change.

--- a/libraries/backends/promotion_choice.cpp
+++ b/libraries/backends/promotion_choice.cpp
@@ -11,6 +11,11 @@
 
 } // namespace
 
+bool may_be_replaced_primary(const promotion_state& state, const promotion_candidate& candidate) {
+    return state.target_ && candidate.id_ != *state.target_ &&
+           candidate.report_.role_ == listed_role::primary;
+}
+
 bool is_refusal_final(std::optional<base::clock::duration> since_earlier_request) noexcept {
     return !since_earlier_request || *since_earlier_request > max_promotion_duration;
 }
@@ -23,7 +28,9 @@
     const promotion_candidate* best = nullptr;
     for (const auto& candidate : state.candidates_) {
         const bool is_better = best == nullptr || candidate.report_.received_ > best->report_.received_;
-        if (!state.refused_.contains(candidate.id_) && is_better) {
+        const bool is_eligible =
+            !state.refused_.contains(candidate.id_) && !may_be_replaced_primary(state, candidate);
+        if (is_eligible && is_better) {
             best = &candidate;
         }
     }
--- a/libraries/backends/promotion_choice.hpp
+++ b/libraries/backends/promotion_choice.hpp
@@ -23,7 +23,7 @@
 
 /// The state of a takeover between two promotion requests.
 struct promotion_state {
-    /// The database of the last promotion request, which may still take effect.
+    /// The database of the last promotion request, which may still take effect or have done so unnoticed.
     std::optional<std::string> target_;
     /// Whether `target_` was observed to be the primary, or lists itself as the primary.
     bool is_target_leading_ = false;
@@ -57,9 +57,16 @@
     friend auto operator<=>(const promotion_choice&, const promotion_choice&) = default;
 };
 
+/// Returns whether a candidate that reports itself as the primary may be one that was replaced: the promotion
+/// of another database was requested and may have taken effect without the candidate's knowledge. Thread
+/// safety: pure function.
+[[nodiscard]] bool may_be_replaced_primary(const promotion_state& state,
+                                           const promotion_candidate& candidate);
+
 /// Chooses the next step. A database whose promotion was requested remains the only choice until the platform
 /// refuses it: the request may take effect at any time, and the group would then have a second primary.
-/// Otherwise the replica whose received position is greatest is chosen. Thread safety: pure function.
+/// Otherwise the candidate whose received position is greatest is chosen, except one that may be a replaced
+/// primary: its role would be taken as proof that its promotion took effect. Thread safety: pure function.
 [[nodiscard]] promotion_choice choose_promotion(const promotion_state& state);
 
 /// Returns whether the refusal of a request shows that the database will not become the primary. It does not
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -469,12 +469,29 @@
                 continue;
             } else {
                 state.refused_.clear();
+                co_await demote_replaced_primaries(current, state);
             }
             co_await http::sleep_for(promotion_poll_interval);
         }
         log_step(current, "promote", "superseded or no longer the leader");
     }
 
+    /// Makes candidates that may be replaced primaries replicas, so that one of them can be promoted.
+    boost::asio::awaitable<void> demote_replaced_primaries(const takeover& current,
+                                                           const backends::promotion_state& state) {
+        for (const auto& candidate : state.candidates_) {
+            if (!backends::may_be_replaced_primary(state, candidate)) {
+                continue;
+            }
+            const auto listing = control_.knowledge_.find_database(candidate.id_);
+            if (listing) {
+                auto step_down_request = protocol::step_down(candidate.report_.term_ + 1);
+                const auto report = co_await send_request(*listing, std::move(step_down_request));
+                log_step(current, "step down", candidate.id_ + (report ? " answered" : " did not answer"));
+            }
+        }
+    }
+
     /// Records a promotion request in the store, sends it and waits until the database reports its new role.
     boost::asio::awaitable<void> promote(takeover& current, std::string candidate,
                                          backends::promotion_state& state) {
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -271,6 +271,10 @@
     return {std::move(id), {backends::listed_role::replica, 3, log_position{3, received}}};
 }
 
+backends::promotion_candidate primary_candidate(std::string id, std::uint64_t received) {
+    return {std::move(id), {backends::listed_role::primary, 3, log_position{3, received}}};
+}
+
 // Guards against two databases that become primary one after the other: an accepted promotion request may
 // take effect later. In a fault-injection run, the first one acknowledged writes after the promotion of the
 // second one.
@@ -295,6 +299,37 @@
     EXPECT_TRUE(backends::is_refusal_final(ms(60'000)));
 }
 
+// Guards against settling on a replaced primary. In a fault-injection run, the promotion of database "a" took
+// effect unnoticed, "a" became unreachable, and the previous primary, which had not heard of "a", still reported
+// its role. It was settled on at once, and its writes of the old term were acknowledged.
+TEST(choose_promotion, SkipsAPrimaryOfAnEarlierTermAfterARefusedRequest) {
+    backends::promotion_state state;
+    state.target_ = "a";
+    state.is_target_refused_ = true;
+    state.refused_ = {"a"};
+    state.candidates_ = {primary_candidate("old", 99), candidate("b", 7)};
+    EXPECT_EQ(backends::choose_promotion(state),
+              (backends::promotion_choice{backends::promotion_step::request, "b"}));
+    state.candidates_ = {primary_candidate("old", 99)};
+    EXPECT_EQ(backends::choose_promotion(state).step_, backends::promotion_step::wait);
+}
+
+// Guards against a takeover that never ends because the requested database leads by the time it is seen again.
+TEST(choose_promotion, ReturnsToTheRequestedDatabaseOnceItLeads) {
+    backends::promotion_state state;
+    state.target_ = "a";
+    state.is_target_refused_ = true;
+    state.candidates_ = {primary_candidate("a", 7), candidate("b", 6)};
+    EXPECT_EQ(backends::choose_promotion(state).database_, "a");
+}
+
+// Guards against losing the log of a primary that restarted before any promotion was requested.
+TEST(choose_promotion, AcceptsAPrimaryBeforeTheFirstRequest) {
+    backends::promotion_state state;
+    state.candidates_ = {primary_candidate("a", 7), candidate("b", 6)};
+    EXPECT_EQ(backends::choose_promotion(state).database_, "a");
+}
+
 TEST(choose_promotion, CompletesOnlyWithTheOrderedDatabase) {
     backends::promotion_state state;
     state.target_ = "a";
