Platform, Proxy: Let an odd entry of another writer cost only itself

Cause: other operators reported that one odd entry among those of the databases ended processes or stopped them from following the list. Here nesting, wrong types and numbers beyond 64 bits were ignored already, but - "slots" counted as 1, and was believed; "cold-remaining-ms" and "born" above 2^63 became negative; a host name was accepted as an address; route times went unchecked into signed milliseconds; - an item of a page or of a watch that cannot be decoded refused the whole response, so the list was no longer followed while the item stayed; - a damaged leader's entry or registration counted as absent, so the next conditional write expected revision 0 and failed for ever; a damaged takeover record counted as none, so the replaced primary was used again.

Change: bounds for every number and text of a database's entry (an entry beyond them names no database, and the reason is given), clamped numbers in the configuration, pages and watches that keep the other items, and values that stand for damaged ones: an open takeover of an unknown primary, the registration of an unknown process. Ignored entries are logged once for each change (E148) and counted.

Every coroutine that nobody awaits now has a handler for exceptions: a periodic task starts again, a session or an attempt to connect ends alone (E149). Before, one unexpected exception ended the process.

Tests: fleet_entries.IgnoresOddValuesOfEachMember and .LimitsTheNumbersOfAConfiguration, store_messages.KeepsTheOtherItemsOfAPage, stored_fleet.*, ignored_entries.*, background_task.*, and session_daemon.ServesBesideOddEntriesOfOtherWriters with a daemon process and the stand-in store.

--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -16,10 +16,10 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <cstdint>
+#include <exception>
 #include <map>
 #include <memory>
 #include <optional>
@@ -456,7 +456,11 @@
     void start_opening(const member_pointer& one) {
         one->note_opening();
         boost::asio::co_spawn(executor_, open_connection(this->shared_from_this(), one),
-                              boost::asio::detached);
+                              [self = this->shared_from_this(), one](const std::exception_ptr& failure) {
+                                  if (failure) {
+                                      self->note_open_failure(*one, "unexpected error");
+                                  }
+                              });
     }
 
     static boost::asio::awaitable<void> open_connection(std::shared_ptr<service_group> self,
@@ -480,14 +484,18 @@
         } else if (failure.status_ == statement_status::connection_limit) {
             one->note_refused(now);
         } else {
-            if (!one->is_failing()) {
-                self->log_condition(*one, "failing", failure.detail_);
-            }
-            one->note_open_failed(now);
+            self->note_open_failure(*one, failure.detail_);
         }
         self->dispatch(now);
     }
 
+    void note_open_failure(member& one, const std::string& reason) {
+        if (!one.is_failing()) {
+            log_condition(one, "failing", reason);
+        }
+        one.note_open_failed(base::clock::now());
+    }
+
     /// Opens a new connection after one was lost: a broken connection alone does not show whether the
     /// database still responds.
     void probe_after_loss(const grant& granted, base::clock::time_point now) {
--- a/libraries/daemons/takeover_record.cpp
+++ b/libraries/daemons/takeover_record.cpp
@@ -54,6 +54,14 @@
     return std::nullopt;
 }
 
+takeover_record damaged_record(std::string_view service, std::uint64_t revision) {
+    return takeover_record_fields{std::string{service}, takeover_phase::open, {}, {}, revision};
+}
+
+registration damaged_registration(std::string_view address, std::uint64_t revision) {
+    return registration_fields{std::string{address}, 0, false, revision};
+}
+
 std::string encode_registration(const registration& entry) {
     return json::serialize(json::object{{"run", entry->run_}, {"marked", entry->is_marked_}});
 }
--- a/libraries/daemons/takeover_record.hpp
+++ b/libraries/daemons/takeover_record.hpp
@@ -42,6 +42,9 @@
 /// Parses a stored record. Returns nothing when the value is invalid.
 [[nodiscard]] std::optional<takeover_record> decode_record(std::string_view service, std::string_view value,
                                                            std::uint64_t revision);
+/// Returns the record that stands for a stored one that cannot be decoded: an open takeover of an unknown
+/// primary, which the leader finishes.
+[[nodiscard]] takeover_record damaged_record(std::string_view service, std::uint64_t revision);
 
 /// A daemon's registration in the store. A registered daemon may use primaries, so it must stop using one
 /// before that one is replaced.
@@ -73,5 +76,8 @@
 [[nodiscard]] std::string encode_registration(const registration& entry);
 [[nodiscard]] std::optional<registration> decode_registration(std::string_view address,
                                                               std::string_view value, std::uint64_t revision);
+/// Returns the registration that stands for a stored one that cannot be decoded: the daemon at this address
+/// may use primaries until it registers anew.
+[[nodiscard]] registration damaged_registration(std::string_view address, std::uint64_t revision);
 
 } // namespace daemons
--- a/libraries/platform/store_item.hpp
+++ b/libraries/platform/store_item.hpp
@@ -21,6 +21,10 @@
 /// A page of the keys with a prefix.
 struct store_page {
     std::vector<store_item> items_;
+    /// The keys of this page whose items cannot be decoded.
+    std::vector<std::string> undecodable_keys_;
+    /// The last key of the page, after which the next page begins. Empty for an empty page.
+    std::string last_key_;
     /// Whether more keys follow the last one.
     bool has_more_ = false;
     /// The store's revision at the time of the response.
@@ -42,6 +46,8 @@
 /// The changes of the keys with a prefix.
 struct store_changes {
     std::vector<store_event> events_;
+    /// The changed keys whose new items cannot be decoded.
+    std::vector<std::string> undecodable_keys_;
     /// The revision from which to continue watching.
     std::uint64_t at_ = 0;
 
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -7,9 +7,11 @@
 #include <daemons/primary_lease.hpp>
 #include <http/wait_signal.hpp>
 #include <operators/session_settings.hpp>
+#include <proxy/background_task.hpp>
 #include <proxy/events.hpp>
 #include <proxy/fleet_knowledge.hpp>
 #include <proxy/group_table.hpp>
+#include <proxy/ignored_entries.hpp>
 #include <proxy/session_shared_state.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -80,6 +82,11 @@
         }
     }
 
+    /// Returns a completion handler for a coroutine that nobody awaits.
+    [[nodiscard]] task_failure_log log_failures(std::string task) const {
+        return task_failure_log{std::move(task), shared_.counters_.tasks_failed_};
+    }
+
     /// Adopts a takeover record from the store or a peer and publishes the new view. Returns whether the
     /// record is new.
     bool adopt(const daemons::takeover_record& record) {
@@ -147,6 +154,7 @@
     /// Peer address, which identifies this daemon in the fleet.
     std::string address_;
     fleet_knowledge knowledge_;
+    ignored_entries ignored_entries_{shared_.counters_.store_entries_ignored_};
     daemons::primary_lease primary_lease_;
     std::map<std::string, backends::primary_health> health_reports_;
     /// Services with a takeover that this daemon began and has not settled.
@@ -181,6 +189,12 @@
                 co_await group->drain_database(listing->id_, base::clock::duration{0});
             }
         }
+        if (database.empty()) {
+            // The takeover record was damaged and does not tell which database was the primary.
+            for (const auto& listing : view->databases_) {
+                co_await group->drain_database(listing->id_, base::clock::duration{0});
+            }
+        }
         co_await group->drain_database(database, grace);
     }
 
--- a/libraries/proxy/events.hpp
+++ b/libraries/proxy/events.hpp
@@ -91,6 +91,13 @@
     147, "registration_changed", severity::info,
     "The registration of a daemon that may use primaries was written, marked or removed."};
 
+inline constexpr base::event_definition store_entry_ignored{
+    148, "store_entry_ignored", severity::warning,
+    "An entry in the platform's store cannot be used and is ignored; the others remain in use."};
+inline constexpr base::event_definition task_failed{
+    149, "task_failed", severity::error,
+    "An internal task ended with an unexpected error; a periodic task starts again."};
+
 /// All definitions above, which a test compares with `docs/events.md`.
 inline constexpr std::array all{&daemon_started,
                                 &daemon_ready,
@@ -123,6 +130,8 @@
                                 &evidence_changed,
                                 &store_call_failed,
                                 &store_call_works,
-                                &registration_changed};
+                                &registration_changed,
+                                &store_entry_ignored,
+                                &task_failed};
 
 } // namespace proxy::events
--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -8,6 +8,7 @@
 #include <proxy/control_context.hpp>
 #include <proxy/fleet_keys.hpp>
 #include <proxy/retry_delay.hpp>
+#include <proxy/stored_fleet.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -97,14 +98,6 @@
     }
 
 private:
-    struct fleet_entries {
-        std::map<std::string, daemons::registration> registrations_;
-        std::vector<daemons::takeover_record> records_;
-        /// The leader's entry, decoded as the registration of that daemon.
-        std::optional<daemons::registration> leadership_;
-        std::string leader_;
-    };
-
     /// Waits until the next read is due. The leader reads in every interval; the other daemons rely on its
     /// responses as long as they are fresh, so that the load on the store does not grow with the fleet.
     boost::asio::awaitable<void> wait_until_due() {
@@ -131,7 +124,7 @@
     /// Reads all keys once. Returns false when the daemon had to register and must read again at once.
     boost::asio::awaitable<base::result<bool>> read_once() {
         const auto requested_at = base::clock::now();
-        fleet_entries entries;
+        stored_fleet entries;
         auto failure = co_await read_keys(entries);
         if (failure) {
             co_return std::move(*failure);
@@ -156,11 +149,11 @@
         control_.leader_ = entries.leader_;
         control_.primary_lease_.note_store_read(requested_at);
         control_.publish_primary_lease();
-        co_await maintain_leadership(entries.leadership_, entries.leader_, requested_at);
+        co_await maintain_leadership(entries, requested_at);
         co_return true;
     }
 
-    boost::asio::awaitable<std::optional<base::error>> read_keys(fleet_entries& entries) {
+    boost::asio::awaitable<std::optional<base::error>> read_keys(stored_fleet& entries) {
         std::string last_key;
         for (;;) {
             std::string prefix{fleet_keys::prefix};
@@ -168,39 +161,24 @@
             if (!page) {
                 co_return page.last_reason();
             }
+            const auto now = base::clock::now();
             for (const auto& item : page->items_) {
-                decode_item(item, entries);
-                last_key = item.key_;
-            }
-            if (!page->has_more_ || page->items_.empty()) {
-                co_return std::nullopt;
+                if (const auto problem = decode_item(item, entries)) {
+                    control_.ignored_entries_.report(item.key_, item.revision_, *problem, now);
+                }
             }
-        }
-    }
-
-    static void decode_item(const platform::store_item& item, fleet_entries& entries) {
-        const std::string_view key{item.key_};
-        if (key.starts_with(fleet_keys::daemons)) {
-            const auto address = key.substr(fleet_keys::daemons.size());
-            if (auto entry = daemons::decode_registration(address, item.value_, item.revision_)) {
-                entries.registrations_.emplace(address, std::move(*entry));
+            for (const auto& key : page->undecodable_keys_) {
+                control_.ignored_entries_.report(key, 0, "the store's item cannot be decoded", now);
             }
-        } else if (key.starts_with(fleet_keys::takeovers)) {
-            const auto service = key.substr(fleet_keys::takeovers.size());
-            if (auto record = daemons::decode_record(service, item.value_, item.revision_)) {
-                entries.records_.push_back(std::move(*record));
+            last_key = page->last_key_;
+            if (!page->has_more_ || last_key.empty()) {
+                co_return std::nullopt;
             }
-        } else if (key == fleet_keys::leadership) {
-            const auto separator = item.value_.find(' ');
-            entries.leader_ = item.value_.substr(0, separator);
-            const auto rest =
-                separator == std::string::npos ? std::string{} : item.value_.substr(separator + 1);
-            entries.leadership_ = daemons::decode_registration(entries.leader_, rest, item.revision_);
         }
     }
 
     [[nodiscard]] std::optional<daemons::registration>
-    find_own_registration(const fleet_entries& entries) const {
+    find_own_registration(const stored_fleet& entries) const {
         const auto found = entries.registrations_.find(control_.address_);
         return found == entries.registrations_.end() ? std::nullopt : std::optional{found->second};
     }
@@ -229,13 +207,14 @@
         co_return false;
     }
 
-    boost::asio::awaitable<void> maintain_leadership(const std::optional<daemons::registration>& leadership,
-                                                     const std::string& leader,
+    boost::asio::awaitable<void> maintain_leadership(const stored_fleet& entries,
                                                      base::clock::time_point requested_at) {
+        const auto& leadership = entries.leadership_;
+        const auto& leader = entries.leader_;
+        const auto revision = entries.leadership_revision_;
         const bool is_own_entry =
             leadership && leader == control_.address_ && (*leadership)->run_ == control_.run_;
-        if (is_own_entry && control_.leadership_ &&
-            control_.leadership_->token_ == (*leadership)->revision_) {
+        if (is_own_entry && control_.leadership_ && control_.leadership_->token_ == revision) {
             control_.leadership_->verified_at_ = requested_at;
             polls_without_leader_ = 0;
             co_return;
@@ -243,9 +222,9 @@
         if (control_.leadership_) {
             lose_leadership("the store holds another revision of the leader key");
         }
-        const bool has_resigned = leadership && (*leadership)->revision_ == control_.resigned_token_;
+        const bool has_resigned = leadership && revision == control_.resigned_token_;
         // A process that started on the leader's address may replace it, because the earlier process has
-        // ended.
+        // ended. A leader whose entry was overwritten by another writer loses the leadership.
         const bool is_free = !leadership || leader == control_.address_ || has_resigned;
         if (!is_free || control_.is_draining_) {
             polls_without_leader_ = 0;
@@ -256,8 +235,7 @@
                                  leader == control_.address_ || has_resigned;
         ++polls_without_leader_;
         if (may_acquire) {
-            const auto current_revision = leadership ? (*leadership)->revision_ : 0;
-            co_await acquire_leadership(current_revision, has_resigned);
+            co_await acquire_leadership(revision, has_resigned);
         }
     }
 
--- a/libraries/proxy/peer_exchange.hpp
+++ b/libraries/proxy/peer_exchange.hpp
@@ -12,7 +12,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <cstdint>
 #include <map>
@@ -240,14 +239,15 @@
         record_observations(*message, now);
         switch (message->kind_) {
         case daemons::fleet_message_kind::request:
-            boost::asio::co_spawn(control_.context_, respond(std::move(message)), boost::asio::detached);
+            boost::asio::co_spawn(control_.context_, respond(std::move(message)),
+                                  control_.log_failures("peer response"));
             break;
         case daemons::fleet_message_kind::response:
             handle_response(*message, now);
             break;
         case daemons::fleet_message_kind::stop_request:
             boost::asio::co_spawn(control_.context_, handle_stop_request(std::move(message)),
-                                  boost::asio::detached);
+                                  control_.log_failures("stop request"));
             break;
         case daemons::fleet_message_kind::stop_response:
             for (const auto& record : message->records_) {
--- a/libraries/proxy/session_counters.hpp
+++ b/libraries/proxy/session_counters.hpp
@@ -15,6 +15,10 @@
     std::atomic<std::uint64_t> statements_failed_{0};
     std::atomic<std::uint64_t> statements_unknown_{0};
     std::atomic<std::uint64_t> transactions_aborted_{0};
+    /// Changes of entries in the platform's store that cannot be used.
+    std::atomic<std::uint64_t> store_entries_ignored_{0};
+    /// Internal tasks that ended with an unexpected error.
+    std::atomic<std::uint64_t> tasks_failed_{0};
 };
 
 } // namespace proxy
--- a/libraries/proxy/session_daemon.hpp
+++ b/libraries/proxy/session_daemon.hpp
@@ -5,6 +5,7 @@
 #include <http/listener.hpp>
 #include <http/server.hpp>
 #include <http/sleep.hpp>
+#include <proxy/background_task.hpp>
 #include <proxy/control_context.hpp>
 #include <proxy/fleet_poll.hpp>
 #include <proxy/peer_exchange.hpp>
@@ -14,11 +15,11 @@
 #include <proxy/takeover_runner.hpp>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -148,19 +149,21 @@
     }
 
     void start_control_tasks() {
-        const auto spawn = [this](boost::asio::awaitable<void> work) {
-            boost::asio::co_spawn(context_, std::move(work), boost::asio::detached);
-        };
-        spawn(watchers_.follow_configuration());
-        spawn(watchers_.follow_databases());
-        spawn(poll_.poll());
-        spawn(poll_.renew_leadership());
-        spawn(peers_->receive());
-        spawn(peers_->send_requests());
-        spawn(takeovers_->watch());
-        spawn(resign_when_store_unreachable());
-        spawn(handle_signals());
-        spawn(poll_settings());
+        run_periodically("configuration", [this] { return watchers_.follow_configuration(); });
+        run_periodically("databases", [this] { return watchers_.follow_databases(); });
+        run_periodically("fleet poll", [this] { return poll_.poll(); });
+        run_periodically("leadership renewal", [this] { return poll_.renew_leadership(); });
+        run_periodically("peer messages", [this] { return peers_->receive(); });
+        run_periodically("peer requests", [this] { return peers_->send_requests(); });
+        run_periodically("takeovers", [this] { return takeovers_->watch(); });
+        run_periodically("resignation", [this] { return resign_when_store_unreachable(); });
+        run_periodically("signals", [this] { return handle_signals(); });
+        run_periodically("settings", [this] { return poll_settings(); });
+    }
+
+    void run_periodically(std::string name, std::function<boost::asio::awaitable<void>()> task) {
+        const auto failures = control_.log_failures(std::move(name));
+        boost::asio::co_spawn(context_, run_until_stopped(std::move(task), failures), failures);
     }
 
     /// Resigns the leadership when the store is unreachable, and repeats the notice to the peers.
@@ -207,7 +210,7 @@
             }
             if (!control_.is_draining_) {
                 control_.is_draining_ = true;
-                boost::asio::co_spawn(context_, stop(), boost::asio::detached);
+                boost::asio::co_spawn(context_, stop(), control_.log_failures("stop"));
             }
         }
     }
--- a/libraries/proxy/session_metrics.cpp
+++ b/libraries/proxy/session_metrics.cpp
@@ -40,6 +40,9 @@
     // Counts the transactions that the daemon rolled back.
     append_metric(text, "sassafrasdeal_transactions_given_up_total", "counter",
                   value_of(counters.transactions_aborted_));
+    append_metric(text, "sassafrasdeal_store_entries_ignored_total", "counter",
+                  value_of(counters.store_entries_ignored_));
+    append_metric(text, "sassafrasdeal_tasks_failed_total", "counter", value_of(counters.tasks_failed_));
     // Remaining duration of the primary lease.
     append_metric(text, "sassafrasdeal_evidence_left_ms", "gauge",
                   (shared.published_lease_.expiry() - now).count());
--- a/libraries/proxy/session_worker.hpp
+++ b/libraries/proxy/session_worker.hpp
@@ -4,19 +4,20 @@
 #include <base/event.hpp>
 #include <http/listener.hpp>
 #include <http/sleep.hpp>
+#include <proxy/background_task.hpp>
 #include <proxy/client_session.hpp>
 #include <proxy/group_table.hpp>
 #include <proxy/session_shared_state.hpp>
 #include <proxy/statement_recorder.hpp>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <cstddef>
+#include <exception>
 #include <list>
 #include <map>
 #include <memory>
@@ -61,8 +62,14 @@
 
     /// Starts accepting clients and the periodic maintenance of sessions and groups.
     void start() {
-        boost::asio::co_spawn(context_, accept_clients(), boost::asio::detached);
-        boost::asio::co_spawn(context_, run_maintenance(), boost::asio::detached);
+        const task_failure_log accept_failures{"accept", shared_.counters_.tasks_failed_};
+        const task_failure_log maintenance_failures{"maintenance", shared_.counters_.tasks_failed_};
+        boost::asio::co_spawn(context_,
+                              run_until_stopped([this] { return accept_clients(); }, accept_failures),
+                              accept_failures);
+        boost::asio::co_spawn(context_,
+                              run_until_stopped([this] { return run_maintenance(); }, maintenance_failures),
+                              maintenance_failures);
     }
 
     /// Adds the latency histograms of this thread to `totals`.
@@ -88,15 +95,25 @@
             sessions_.push_back(created);
             shared_.counters_.sessions_opened_.fetch_add(1, std::memory_order_relaxed);
             shared_.counters_.sessions_open_.fetch_add(1, std::memory_order_relaxed);
-            boost::asio::co_spawn(context_, serve(std::prev(sessions_.end())), boost::asio::detached);
+            boost::asio::co_spawn(context_, serve(std::prev(sessions_.end())), log_session_failures());
         }
     }
 
     boost::asio::awaitable<void> serve(typename std::list<std::shared_ptr<session>>::iterator position) {
         const auto current_session = *position;
-        co_await current_session->serve();
+        std::exception_ptr failure;
+        try {
+            co_await current_session->serve();
+        } catch (...) {
+            failure = std::current_exception();
+        }
         sessions_.erase(position);
         shared_.counters_.sessions_open_.fetch_sub(1, std::memory_order_relaxed);
+        log_session_failures()(failure);
+    }
+
+    [[nodiscard]] task_failure_log log_session_failures() const {
+        return task_failure_log{"session", shared_.counters_.tasks_failed_};
     }
 
     boost::asio::awaitable<void> run_maintenance() {
@@ -125,7 +142,7 @@
                                             now - *since >= open_session->transaction_idle_timeout();
                 if (must_roll_back) {
                     boost::asio::co_spawn(context_, open_session->abandon_transaction(),
-                                          boost::asio::detached);
+                                          log_session_failures());
                 }
                 continue;
             }
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -3,6 +3,7 @@
 #include <base/clock.hpp>
 #include <base/event.hpp>
 #include <http/sleep.hpp>
+#include <platform/store_item.hpp>
 #include <proxy/control_context.hpp>
 #include <proxy/retry_delay.hpp>
 
@@ -116,13 +117,18 @@
             // The pages are no consistent snapshot: the watch starts at the revision of the first page and
             // delivers the changes since then.
             start_revision = start_revision == 0 ? page->at_ : start_revision;
+            const auto now = base::clock::now();
             for (const auto& item : page->items_) {
-                if (auto database = entries::read_database(item.key_, item.value_)) {
+                auto database = entries::read_database(item.key_, item.value_);
+                if (database) {
                     listings.push_back(std::move(*database));
+                } else {
+                    report(item.key_, item.revision_, database.last_reason(), now);
                 }
-                last_key = item.key_;
             }
-            if (!page->has_more_ || page->items_.empty()) {
+            report(page->undecodable_keys_, now);
+            last_key = page->last_key_;
+            if (!page->has_more_ || last_key.empty()) {
                 co_return start_revision;
             }
         }
@@ -136,17 +142,7 @@
                 co_return;
             }
             revision = std::max(revision, changes->at_);
-            const auto now = base::clock::now();
-            for (const auto& event : changes->events_) {
-                auto database =
-                    event.value_ ? entries::read_database(event.key_, *event.value_) : std::nullopt;
-                if (database) {
-                    control_.knowledge_.update_database(std::move(*database));
-                } else {
-                    const auto id = event.key_.substr(entries::databases_prefix.size());
-                    control_.knowledge_.mark_vanished(id, now);
-                }
-            }
+            apply(*changes, base::clock::now());
             control_.publish();
             if (!changes->events_.empty()) {
                 // Every call to the store has a cost: changes in quick succession arrive in one response.
@@ -155,6 +151,45 @@
         }
     }
 
+    /// Applies the changes of the server list. An entry that was removed, or overwritten with a value that
+    /// cannot be used, counts as absent.
+    void apply(const platform::store_changes& changes, base::clock::time_point now) {
+        for (const auto& event : changes.events_) {
+            if (!event.value_) {
+                mark_vanished(event.key_, now);
+                continue;
+            }
+            auto database = entries::read_database(event.key_, *event.value_);
+            if (database) {
+                control_.knowledge_.update_database(std::move(*database));
+            } else {
+                report(event.key_, event.revision_, database.last_reason(), now);
+                mark_vanished(event.key_, now);
+            }
+        }
+        for (const auto& key : changes.undecodable_keys_) {
+            mark_vanished(key, now);
+        }
+        report(changes.undecodable_keys_, now);
+    }
+
+    void mark_vanished(const std::string& key, base::clock::time_point now) {
+        if (key.starts_with(entries::databases_prefix)) {
+            control_.knowledge_.mark_vanished(key.substr(entries::databases_prefix.size()), now);
+        }
+    }
+
+    void report(const std::string& key, std::uint64_t revision, const base::error& reason,
+                base::clock::time_point now) {
+        control_.ignored_entries_.report(key, revision, reason.message(), now);
+    }
+
+    void report(const std::vector<std::string>& undecodable_keys, base::clock::time_point now) {
+        for (const auto& key : undecodable_keys) {
+            control_.ignored_entries_.report(key, 0, "the store's item cannot be decoded", now);
+        }
+    }
+
     // The poll of the fleet's keys retries more often and ends these delays once the store answers it.
     static constexpr platform::backoff_limits retry_limits{base::clock::duration{60},
                                                            base::clock::duration{2'000}};
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -16,10 +16,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <cstdint>
+#include <exception>
 #include <map>
 #include <optional>
 #include <string>
@@ -132,13 +132,16 @@
                 return false;
             }
         }
+        // Listed at once: responses to peers that are sent before the coroutine starts must name the
+        // takeover.
         control_.active_takeovers_.insert(service);
         takeover started;
         started.service_ = service;
         started.replaced_ = view.primary_;
         started.reason_ = reason_of(decision);
         started.claim_ = {control_.leadership_->token_, known_revision(service)};
-        boost::asio::co_spawn(control_.context_, run_takeover(std::move(started)), boost::asio::detached);
+        boost::asio::co_spawn(control_.context_, run_takeover(std::move(started)),
+                              control_.log_failures("takeover"));
         return true;
     }
 
@@ -157,10 +160,10 @@
                                                           const backends::service_view_fields& view,
                                                           base::clock::time_point now) {
         daemons::primary_condition condition;
+        condition.is_being_replaced_ = view.primary_state_ == backends::primary_state::being_replaced;
         if (view.primary_.empty()) {
             return condition;
         }
-        condition.is_being_replaced_ = view.primary_state_ == backends::primary_state::being_replaced;
         const auto listing = control_.knowledge_.find_database(view.primary_);
         if (listing) {
             condition.is_draining_ = (*listing)->state_ == backends::listed_state::draining;
@@ -207,8 +210,23 @@
         }
     }
 
-    /// Runs one takeover from the open record to the promotion. Each step is logged.
+    /// Runs one takeover. Afterwards the service counts as without a takeover, also after an exception.
     boost::asio::awaitable<void> run_takeover(takeover current) {
+        const auto service = current.service_;
+        std::exception_ptr failure;
+        try {
+            co_await replace_primary(std::move(current));
+        } catch (...) {
+            failure = std::current_exception();
+        }
+        control_.active_takeovers_.erase(service);
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    }
+
+    /// Replaces a primary, from the open record to the promotion. Each step is logged.
+    boost::asio::awaitable<void> replace_primary(takeover current) {
         base::log_event(events::takeover_begun, {{"service", current.service_},
                                                  {"primary", current.replaced_},
                                                  {"reason", reason_name(current.reason_)}});
@@ -219,7 +237,6 @@
                 co_await promote_until_settled(current);
             }
         }
-        control_.active_takeovers_.erase(current.service_);
     }
 
     static const char* reason_name(takeover_reason reason) {
@@ -322,7 +339,7 @@
         const auto grace = current.reason_ == takeover_reason::planned ? planned_grace : failed_grace;
         boost::asio::co_spawn(control_.context_,
                               control_.drain_database(current.service_, current.replaced_, grace),
-                              boost::asio::detached);
+                              control_.log_failures("drain"));
         const auto started_at = base::clock::now();
         const auto step_down_at = started_at + grace + step_down_delay;
         bool has_stepped_down = false;
--- a/tests/adapter/test_store_messages.cpp
+++ b/tests/adapter/test_store_messages.cpp
@@ -5,6 +5,8 @@
 #include <rapidcheck/gtest.h>
 
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace {
 
@@ -94,6 +96,78 @@
     EXPECT_FALSE(adapter::fleet_entries::read_database("servers/", entry));
 }
 
+/// Returns the entry with one member set to another JSON value.
+std::string entry_with(const std::string& member, const std::string& value) {
+    const auto name = "\"" + member + "\":";
+    const auto start = entry.find(name) + name.size();
+    const auto end = entry.find_first_of(",}", start);
+    return entry.substr(0, start) + value + entry.substr(end);
+}
+
+// Guards against one odd entry that ends the process or is used as a database. Other operators reported
+// processes that ended again and again because of a deep nesting, a large number or a port out of range.
+TEST(fleet_entries, IgnoresOddValuesOfEachMember) {
+    const auto accepts = [](const std::string& member, const std::string& value) {
+        return adapter::fleet_entries::read_database("servers/i-1", entry_with(member, value))
+            .value()
+            .has_value();
+    };
+    ASSERT_TRUE(accepts("slots", "3"));
+    for (const auto* number : {"18446744073709551616", "1e400", "-1", "2.5", "1e2", "4294967297",
+                               "4294967295", "9223372036854775808", "\"2\"", "null", "[]", "{}", "true"}) {
+        EXPECT_FALSE(accepts("slots", number)) << number;
+        const bool is_in_range_elsewhere =
+            std::string_view{number} == "4294967297" || std::string_view{number} == "4294967295";
+        EXPECT_EQ(accepts("born", number), is_in_range_elsewhere) << number;
+        EXPECT_FALSE(accepts("cold-remaining-ms", number)) << number;
+    }
+    for (const auto* address : {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:+80", "10.0.0.1: 80",
+                                "10.0.0.1:80 ", ":80", "host:80", "10.0.0.1", "10.0.0.256:80", ""}) {
+        EXPECT_FALSE(accepts("address", "\"" + std::string{address} + "\"")) << address;
+    }
+    EXPECT_FALSE(accepts("service", "\"" + std::string(1'000'000, 's') + "\""));
+    EXPECT_FALSE(accepts("zone", "\"" + std::string(300, 'z') + "\""));
+}
+
+// Guards against recursion that exhausts the stack.
+TEST(fleet_entries, IgnoresDeeplyNestedEntries) {
+    for (const std::size_t depth : {10U, 32U, 1'000U, 100'000U}) {
+        const auto nested = std::string(depth, '[') + std::string(depth, ']');
+        EXPECT_FALSE(adapter::fleet_entries::read_database("servers/i-1", nested));
+        EXPECT_FALSE(adapter::fleet_entries::read_database("servers/i-1", entry_with("slots", nested)));
+        EXPECT_FALSE(adapter::fleet_entries::read_configuration("{\"version\":" + nested + "}"));
+    }
+    EXPECT_TRUE(adapter::fleet_entries::read_database("servers/i-1", entry.substr(0, entry.size() - 1) +
+                                                                         R"(,"other":[[[[[[[[1]]]]]]]]})"));
+}
+
+RC_GTEST_PROP(fleet_entries, SurvivesAnyNumberInAnyMember, (std::int64_t number)) {
+    for (const auto* member : {"slots", "cold-remaining-ms", "born", "sequence"}) {
+        const auto database =
+            adapter::fleet_entries::read_database("servers/i-1", entry_with(member, std::to_string(number)));
+        if (database) {
+            RC_ASSERT((*database)->slots_ > 0U);
+            RC_ASSERT((*database)->started_at_ >= 0);
+            RC_ASSERT((*database)->warm_up_left_.count() >= 0);
+        }
+    }
+}
+
+// Guards against a server list that is no longer followed while one of its items cannot be decoded.
+TEST(store_messages, KeepsTheOtherItemsOfAPage) {
+    const auto page = adapter::decode_page(
+        R"({"items":[{"key":"a","value":"bm9kZS0x","revision":1},{"key":"b","value":"?","revision":2},{"key":"c","revision":3},{"key":"d","value":"","revision":-4}],"has-more":true,"at":5})");
+    ASSERT_TRUE(page);
+    ASSERT_EQ(page->items_.size(), 1U);
+    EXPECT_EQ(page->undecodable_keys_, (std::vector<std::string>{"b", "c", "d"}));
+    EXPECT_EQ(page->last_key_, "d");
+    const auto changes = adapter::decode_changes(
+        R"({"events":[{"key":"a","value":7,"revision":1},{"key":"b","revision":2,"deleted":true}],"at":2})");
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(changes->events_.size(), 1U);
+    EXPECT_EQ(changes->undecodable_keys_, (std::vector<std::string>{"a"}));
+}
+
 RC_GTEST_PROP(fleet_entries, IgnoresTruncatedAndArbitraryEntries, (const std::string& bytes)) {
     RC_ASSERT(!adapter::fleet_entries::read_database("servers/i-1", bytes));
     const auto length = *rc::gen::inRange<std::size_t>(0, entry.size());
@@ -115,6 +189,27 @@
     EXPECT_EQ(route->max_attempts_, 2U);
 }
 
+// Guards against durations that overflow when a time is added to them, and against numbers cut to 32 bits.
+TEST(fleet_entries, LimitsTheNumbersOfAConfiguration) {
+    const std::string largest = "18446744073709551615";
+    auto large = configuration;
+    for (const auto* member : {"timeout-ms\":800", "target-latency-ms\":200", "priority\":1",
+                               "max-connections\":16", "tx-idle-ms\":2500"}) {
+        const auto start = large.find(':', large.find(member)) + 1;
+        const auto end = large.find_first_of(",}", start);
+        large.replace(start, end - start, largest);
+    }
+    const auto routes = adapter::fleet_entries::read_configuration(large);
+    ASSERT_TRUE(routes);
+    const auto& route = (*routes)->routes_.at("lepu270");
+    const base::clock::duration day{24 * 60 * 60 * 1000};
+    EXPECT_EQ(route->timeout_, day);
+    EXPECT_EQ(route->objective_, day);
+    EXPECT_EQ(route->priority_, 1'000U);
+    EXPECT_EQ((*routes)->services_.at("huvo11a"), 1'000'000U);
+    EXPECT_EQ((*routes)->transaction_idle_, day);
+}
+
 TEST(fleet_entries, RejectsAnInvalidConfiguration) {
     EXPECT_FALSE(adapter::fleet_entries::read_configuration("{}"));
     for (std::size_t length = 0; length < configuration.size(); length += 7) {
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -300,8 +300,8 @@
 }
 
 // Guards against settling on a replaced primary. In a fault-injection run, the promotion of database "a" took
-// effect unnoticed, "a" became unreachable, and the previous primary, which had not heard of "a", still reported
-// its role. It was settled on at once, and its writes of the old term were acknowledged.
+// effect unnoticed, "a" became unreachable, and the previous primary, which had not heard of "a", still
+// reported its role. It was settled on at once, and its writes of the old term were acknowledged.
 TEST(choose_promotion, SkipsAPrimaryOfAnEarlierTermAfterARefusedRequest) {
     backends::promotion_state state;
     state.target_ = "a";
@@ -314,7 +314,8 @@
     EXPECT_EQ(backends::choose_promotion(state).step_, backends::promotion_step::wait);
 }
 
-// Guards against a takeover that never ends because the requested database leads by the time it is seen again.
+// Guards against a takeover that never ends because the requested database leads by the time it is seen
+// again.
 TEST(choose_promotion, ReturnsToTheRequestedDatabaseOnceItLeads) {
     backends::promotion_state state;
     state.target_ = "a";
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -208,6 +209,61 @@
     EXPECT_NE(fleet.metrics(daemon).find("sassafrasdeal_request_seconds_count"), std::string::npos);
 }
 
+// Guards against a process that ends, or no longer follows the server list, because of one odd entry. Other
+// operators reported both.
+TEST(session_daemon, ServesBesideOddEntriesOfOtherWriters) {
+    const std::vector<std::string> odd_values{
+        "",
+        "null",
+        std::string(100'000, '[') + std::string(100'000, ']'),
+        std::string(500'000, 'x'),
+        "\xff\xfe",
+        R"({"service":"svc","address":"127.0.0.1:65536","zone":"z","slots":2,"state":"ready","db-role":"primary"})",
+        R"({"service":"svc","address":"127.0.0.1:9","zone":"z","slots":18446744073709551616,"state":"ready","db-role":"primary"})"};
+    session_fleet fleet{port_of_test(11)};
+    fleet.run_on_stand_in_thread([&odd_values](session_fleet& fixture) {
+        for (std::size_t number = 0; number < odd_values.size(); ++number) {
+            fixture.store().put("servers/a-odd-" + std::to_string(number), odd_values[number]);
+        }
+        fixture.store().put("sassafrasdeal/daemons/nowhere:99999", "[[[");
+        fixture.store().put("sassafrasdeal/duty", "{");
+        fixture.store().put("sassafrasdeal/other", "1");
+    });
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    ASSERT_TRUE(serves(fleet, daemon, "payouts", "STORE a 1", "COMPLETE sig.i-0"));
+    for (const auto& value : odd_values) {
+        fleet.run_on_stand_in_thread([&value](session_fleet& fixture) {
+            fixture.store().put("servers/z-odd", value);
+            // Another writer overwrites the entry of a replica, which writes it again.
+            fixture.store().put("servers/i-1", value);
+            fixture.list_database(1, false, false);
+        });
+        EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 2", "COMPLETE sig.i-0"));
+    }
+    EXPECT_TRUE(eventually([&] {
+        return fleet.metrics(daemon).find("sassafrasdeal_store_entries_ignored_total 1") != std::string::npos;
+    }));
+    // The list is still followed: the primary drains and another database leads.
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.database(1).set_position(fixture.database(0).position());
+        fixture.list_database(0, true, true);
+    });
+    EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 3", "COMPLETE sig.i-1"));
+    // A damaged takeover record is replaced; the promoted database stays the primary.
+    fleet.run_on_stand_in_thread(
+        [](session_fleet& fixture) { fixture.store().put("sassafrasdeal/takeovers/svc", "[[["); });
+    EXPECT_TRUE(eventually([&fleet] {
+        std::string record;
+        fleet.run_on_stand_in_thread([&record](session_fleet& fixture) {
+            record = fixture.store().value_of("sassafrasdeal/takeovers/svc");
+        });
+        return record.find("settled") != std::string::npos;
+    }));
+    EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 4", "COMPLETE sig.i-1"));
+}
+
 // Guards against daemons that cannot reach the store and still use or replace a primary: writes must be
 // refused as not run once the primary lease has expired, and served again when the store is back.
 TEST(session_daemon, RefusesWritesWithoutEvidenceAndRecovers) {
