Daemons: Record the term of the last primary, so that no older one is settled on

The writes carry term 1 at the first primary's restarted process; one promotion had taken effect before, and its database went dark within a second. The first primary had not reached its successor and still reported its role.

Change: a settled record tells the term in which its primary was seen to lead. A database that reports itself as the primary of an older term is skipped like one beside an earlier request; a record without a term, also a damaged one, makes every such database suspect. A replica is then promoted once it holds the log of the skipped database, within the usual time for catching up.

--- a/libraries/backends/promotion_choice.cpp
+++ b/libraries/backends/promotion_choice.cpp
@@ -1,6 +1,7 @@
 #include <backends/promotion_choice.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace backends {
 
@@ -12,8 +13,10 @@
 } // namespace
 
 bool may_be_replaced_primary(const promotion_state& state, const promotion_candidate& candidate) {
-    return state.target_ && candidate.id_ != *state.target_ &&
-           candidate.report_.role_ == listed_role::primary;
+    if (candidate.report_.role_ != listed_role::primary) {
+        return false;
+    }
+    return state.target_ ? candidate.id_ != *state.target_ : candidate.report_.term_ < state.primary_term_;
 }
 
 bool is_refusal_final(std::optional<base::clock::duration> since_earlier_request) noexcept {
@@ -26,18 +29,22 @@
         return {step, *state.target_};
     }
     const promotion_candidate* best = nullptr;
+    auto wanted_position = state.final_position_;
     for (const auto& candidate : state.candidates_) {
+        if (may_be_replaced_primary(state, candidate)) {
+            // It may also be the primary, with writes that the replicas are about to receive.
+            wanted_position = std::max(wanted_position, std::optional{candidate.report_.received_});
+            continue;
+        }
         const bool is_better = best == nullptr || candidate.report_.received_ > best->report_.received_;
-        const bool is_eligible =
-            !state.refused_.contains(candidate.id_) && !may_be_replaced_primary(state, candidate);
-        if (is_eligible && is_better) {
+        if (!state.refused_.contains(candidate.id_) && is_better) {
             best = &candidate;
         }
     }
     if (best == nullptr) {
         return {};
     }
-    const bool is_behind = state.final_position_ && best->report_.received_ < *state.final_position_;
+    const bool is_behind = wanted_position && best->report_.received_ < *wanted_position;
     if (is_behind && state.may_wait_) {
         return {};
     }
--- a/libraries/backends/promotion_choice.hpp
+++ b/libraries/backends/promotion_choice.hpp
@@ -29,6 +29,8 @@
     bool is_target_leading_ = false;
     /// Whether the platform refused the last request for `target_`, so that it will not take effect.
     bool is_target_refused_ = false;
+    /// The term of the last known primary; 0 if no promotion was ever requested for the service.
+    std::uint64_t primary_term_ = 0;
     /// Databases that the platform has refused.
     std::set<std::string> refused_;
     /// The end of the replaced primary's log, if that primary reported it.
@@ -57,9 +59,9 @@
     friend auto operator<=>(const promotion_choice&, const promotion_choice&) = default;
 };
 
-/// Returns whether a candidate that reports itself as the primary may be one that was replaced: the promotion
-/// of another database was requested and may have taken effect without the candidate's knowledge. Thread
-/// safety: pure function.
+/// Returns whether a candidate that reports itself as the primary may be one that was replaced: its term is
+/// older than that of the last known primary, or the promotion of another database was requested and may have
+/// taken effect. It keeps the role until it reaches its successor. Thread safety: pure function.
 [[nodiscard]] bool may_be_replaced_primary(const promotion_state& state,
                                            const promotion_candidate& candidate);
 
--- a/libraries/daemons/message_codec.cpp
+++ b/libraries/daemons/message_codec.cpp
@@ -67,7 +67,8 @@
 
 template <typename Archive>
 void transfer(Archive& archive, fields_of<takeover_record_fields> auto& fields) {
-    archive(fields.service_, fields.phase_, fields.replaced_, fields.chosen_, fields.revision_);
+    archive(fields.service_, fields.phase_, fields.replaced_, fields.chosen_, fields.revision_,
+            fields.primary_term_);
 }
 
 template <typename Archive>
--- a/libraries/daemons/takeover_record.cpp
+++ b/libraries/daemons/takeover_record.cpp
@@ -28,12 +28,23 @@
                                                   : std::nullopt;
 }
 
+std::optional<std::uint64_t> number_of(const json::object& object, const char* name) {
+    const auto* value = object.if_contains(name);
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    boost::system::error_code failure;
+    const auto number = value->to_number<std::uint64_t>(failure);
+    return failure ? std::nullopt : std::optional{number};
+}
+
 } // namespace
 
 std::string encode_record(const takeover_record& record) {
     return json::serialize(json::object{{"phase", phase_names.at(static_cast<std::size_t>(record->phase_))},
                                         {"replaced", record->replaced_},
-                                        {"chosen", record->chosen_}});
+                                        {"chosen", record->chosen_},
+                                        {"term", record->primary_term_}});
 }
 
 std::optional<takeover_record> decode_record(std::string_view service, std::string_view value,
@@ -47,15 +58,19 @@
     }
     for (std::size_t index = 0; index < phase_names.size(); ++index) {
         if (*phase == phase_names.at(index)) {
-            return takeover_record_fields{std::string{service}, static_cast<takeover_phase>(index),
-                                          std::move(*replaced), std::move(*chosen), revision};
+            return takeover_record_fields{std::string{service},
+                                          static_cast<takeover_phase>(index),
+                                          std::move(*replaced),
+                                          std::move(*chosen),
+                                          revision,
+                                          number_of(*object, "term").value_or(unknown_term)};
         }
     }
     return std::nullopt;
 }
 
 takeover_record damaged_record(std::string_view service, std::uint64_t revision) {
-    return takeover_record_fields{std::string{service}, takeover_phase::open, {}, {}, revision};
+    return takeover_record_fields{std::string{service}, takeover_phase::open, {}, {}, revision, unknown_term};
 }
 
 registration damaged_registration(std::string_view address, std::uint64_t revision) {
@@ -69,17 +84,12 @@
 std::optional<registration> decode_registration(std::string_view address, std::string_view value,
                                                 std::uint64_t revision) {
     const auto object = parse_object(value);
-    const auto* run = object ? object->if_contains("run") : nullptr;
+    const auto run = object ? number_of(*object, "run") : std::nullopt;
     const auto* marked = object ? object->if_contains("marked") : nullptr;
-    if (run == nullptr || marked == nullptr || !marked->is_bool()) {
-        return std::nullopt;
-    }
-    boost::system::error_code failure;
-    const auto number = run->to_number<std::uint64_t>(failure);
-    if (failure) {
+    if (!run || marked == nullptr || !marked->is_bool()) {
         return std::nullopt;
     }
-    return registration_fields{std::string{address}, number, marked->as_bool(), revision};
+    return registration_fields{std::string{address}, *run, marked->as_bool(), revision};
 }
 
 } // namespace daemons
--- a/libraries/daemons/takeover_record.hpp
+++ b/libraries/daemons/takeover_record.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,6 +21,9 @@
     settled,
 };
 
+/// The term of a primary whose term was not observed; greater than every term.
+inline constexpr std::uint64_t unknown_term = std::numeric_limits<std::uint64_t>::max();
+
 /// The store's record of a service's last change of primary.
 struct takeover_record_fields {
     std::string service_;
@@ -30,6 +34,9 @@
     std::string chosen_;
     /// The store's revision of the record; higher is newer. Not part of the stored value.
     std::uint64_t revision_ = 0;
+    /// The term of the last primary on which a takeover settled; 0 before the first takeover. A database that
+    /// reports itself as the primary of an earlier term has been replaced and has not heard of that.
+    std::uint64_t primary_term_ = unknown_term;
 
     friend auto operator<=>(const takeover_record_fields&, const takeover_record_fields&) = default;
     friend bool operator==(const takeover_record_fields&, const takeover_record_fields&) = default;
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -78,6 +78,10 @@
         takeover_reason reason_ = takeover_reason::failed;
         daemons::takeover_claim claim_;
         daemons::takeover_record record_;
+        /// The term of the last known primary, see `takeover_record_fields::primary_term_`.
+        std::uint64_t primary_term_ = 0;
+        /// The term in which the promoted database was observed to lead.
+        std::uint64_t new_term_ = daemons::unknown_term;
         /// When the record was first known to be in the store.
         base::clock::time_point recorded_at_{};
         /// Latest time at which this daemon or the previous leader may have sent the promotion request for
@@ -261,6 +265,7 @@
     boost::asio::awaitable<bool> open_record(takeover& current) {
         if (!is_current(current)) {
             log_step(current, "record", "superseded");
+        current.primary_term_ = known_record ? (*known_record)->primary_term_ : 0;
             co_return false;
         }
         const auto known_record = control_.knowledge_.record_of(current.service_);
@@ -285,8 +290,10 @@
             co_return false;
         }
         const auto previous_revision = current.claim_.record_revision_;
-        daemons::takeover_record_fields fields{current.service_, phase, current.replaced_,
-                                               std::move(chosen_id), 0};
+        const bool is_settled = phase == daemons::takeover_phase::settled;
+        daemons::takeover_record_fields fields{
+            current.service_,     phase, current.replaced_,
+            std::move(chosen_id), 0,     is_settled ? current.new_term_ : current.primary_term_};
         platform::store_transaction change;
         change.expected_.push_back({std::string{fleet_keys::leadership}, current.claim_.token_});
         change.expected_.push_back({fleet_keys::takeover(current.service_), previous_revision});
@@ -464,6 +471,7 @@
         const auto catch_up_deadline = base::clock::now() + catch_up_timeout;
         backends::promotion_state state;
         if (current.record_->phase_ == daemons::takeover_phase::promoting) {
+        state.primary_term_ = current.primary_term_;
             state.target_ = current.record_->chosen_;
             current.promotion_requested_at_ = base::clock::now();
         }
@@ -555,11 +563,14 @@
         } else {
             current.promotion_requested_at_ = now;
         }
-        state.is_target_leading_ = co_await wait_until_primary(candidate);
+        current.new_term_ = daemons::unknown_term;
+        state.is_target_leading_ = co_await wait_until_primary(current, candidate);
     }
 
-    /// Waits until a database is the primary, up to `promotion_effect_timeout`. Returns whether it is.
-    boost::asio::awaitable<bool> wait_until_primary(std::string candidate) {
+    /// Waits until a database is the primary, up to `promotion_effect_timeout`. Returns whether it is, and
+    /// stores its term if that was observed. Precondition: the database was a replica or the platform's
+    /// primary when its promotion was requested, so that its role proves the promotion.
+    boost::asio::awaitable<bool> wait_until_primary(takeover& current, std::string candidate) {
         const auto end = base::clock::now() + promotion_effect_timeout;
         // If the server list already showed the primary role, the entry may predate the request and proves
         // nothing.
@@ -578,6 +589,7 @@
             const auto report = co_await send_request(*listing, std::move(status_request));
             if (report && report->role_ == backends::listed_role::primary) {
                 co_return true;
+                current.new_term_ = report->term_;
             }
         }
         co_return false;
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -314,6 +314,22 @@
     EXPECT_EQ(backends::choose_promotion(state).step_, backends::promotion_step::wait);
 }
 
+// Guards against settling on a primary that an earlier takeover replaced. In a fault-injection run, the
+// database of that takeover led for less than a second before it became unreachable, so the one before kept
+// its role.
+TEST(choose_promotion, SkipsAPrimaryOfATermBeforeTheLastTakeover) {
+    backends::promotion_state state;
+    state.primary_term_ = 4;
+    state.candidates_ = {primary_candidate("old", 99), candidate("b", 7)};
+    EXPECT_EQ(backends::choose_promotion(state).database_, "b");
+    state.may_wait_ = true;
+    EXPECT_EQ(backends::choose_promotion(state).step_, backends::promotion_step::wait);
+    state.candidates_ = {primary_candidate("old", 99)};
+    EXPECT_EQ(backends::choose_promotion(state).step_, backends::promotion_step::wait);
+    state.primary_term_ = 3;
+    EXPECT_EQ(backends::choose_promotion(state).database_, "old");
+}
+
 // Guards against a takeover that never ends because the requested database leads by the time it is seen
 // again.
 TEST(choose_promotion, ReturnsToTheRequestedDatabaseOnceItLeads) {
