Daemons, Proxy: Let few daemons become the leader, so that an outage needs few responses

One daemon that is gone for good, the usual case in a fleet of 30 or more, ended all leases 2.5 s into an outage.

Change: five daemons, chosen by a hash of their addresses from the list of registered daemons, acquire a free leadership before any other does; a round asks those and the leader that the last read showed. A daemon that becomes the leader without being a candidate, or has become a candidate only now, waits as a newcomer did before: K (12 s), after which no daemon counts rounds without it, and then L. The version of the list of daemons now includes the revision of the leader's key, so that a list is confirmed only together with the leader.

Weighed: slots of their own in the store (one more key to lose and to hand over; the registrations are there already), an order by age (a rolling restart would change the candidates again and again; a hash does not), asking a majority (the store decides who leads, so a majority without the leader proves nothing).

Tests: leader_candidates.*, fleet_knowledge.CountsTheLeaderAmongThePossibleLeaders, exchange_schedule.AsksThePossibleLeadersOnceASecondWithoutALeader (30 to 1,000 daemons).

--- a/libraries/daemons/exchange_schedule.cpp
+++ b/libraries/daemons/exchange_schedule.cpp
@@ -43,8 +43,8 @@
 
 exchange_step next_exchange(const exchange_state& state) noexcept {
     if (state.is_leader_ && state.is_suspecting_ &&
-        is_due(state.since_round_, suspicion_interval(state.peers_))) {
-        return exchange_step::start_round;
+        is_due(state.since_survey_, suspicion_interval(state.peers_))) {
+        return exchange_step::survey_peers;
     }
     if (state.needs_lease_renewal_) {
         return next_step_without_leader(state);
--- a/libraries/daemons/takeover_record.hpp
+++ b/libraries/daemons/takeover_record.hpp
@@ -71,8 +71,9 @@
 
 using registration = base::immutable<registration_fields>;
 
-/// Identifies a list of registered daemons. Lists read at different times are equal if their versions are: an
-/// added or changed entry has a higher revision than all before, and a removal changes the count.
+/// Identifies a list of registered daemons and their leader. What was read at different times is equal if the
+/// versions are: an added or changed entry has a higher revision than all before, and a removal of a
+/// registration changes the count.
 struct registration_list_version {
     std::uint64_t count_ = 0;
     std::uint64_t newest_revision_ = 0;
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -174,6 +174,9 @@
     http::wait_signal poll_requested_;
     /// When a read of the store first showed this daemon's registration; empty while it is not registered.
     std::optional<base::clock::time_point> registered_at_;
+    /// Since when this daemon has continuously been a candidate for the leadership, as reads of the store
+    /// show.
+    std::optional<base::clock::time_point> candidate_since_;
     bool has_databases_ = false;
     bool is_draining_ = false;
 
--- a/libraries/proxy/fleet_knowledge.cpp
+++ b/libraries/proxy/fleet_knowledge.cpp
@@ -1,5 +1,7 @@
 #include <proxy/fleet_knowledge.hpp>
 
+#include <daemons/leader_candidates.hpp>
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -81,8 +83,25 @@
     return found == databases_.end() ? std::nullopt : found->second.vanished_at_;
 }
 
+void fleet_knowledge::set_daemons(std::map<std::string, daemons::registration> registrations,
+                                  std::string leader, std::uint64_t leader_revision) {
+    registrations_ = std::move(registrations);
+    leader_candidates_ = daemons::leader_candidates(registrations_);
+    leader_ = std::move(leader);
+    leader_revision_ = leader_revision;
+}
+
+std::vector<std::string> fleet_knowledge::possible_leaders() const {
+    auto daemons = leader_candidates_;
+    const bool is_listed = std::find(daemons.begin(), daemons.end(), leader_) != daemons.end();
+    if (!leader_.empty() && !is_listed) {
+        daemons.push_back(leader_);
+    }
+    return daemons;
+}
+
 daemons::registration_list_version fleet_knowledge::registration_list() const noexcept {
-    daemons::registration_list_version version{registrations_.size(), 0};
+    daemons::registration_list_version version{registrations_.size(), leader_revision_};
     for (const auto& [address, entry] : registrations_) {
         version.newest_revision_ = std::max(version.newest_revision_, entry->revision_);
     }
--- a/libraries/proxy/fleet_knowledge.hpp
+++ b/libraries/proxy/fleet_knowledge.hpp
@@ -32,13 +32,22 @@
     [[nodiscard]] std::optional<daemons::takeover_record> record_of(const std::string& service) const;
     [[nodiscard]] std::vector<daemons::takeover_record> records() const;
 
-    void set_registrations(std::map<std::string, daemons::registration> registrations) {
-        registrations_ = std::move(registrations);
-    }
+    /// Stores the registered daemons and the leader, with the revision of the leader's key, as one read of
+    /// the store shows them. `leader` is empty and `leader_revision` 0 if there is none.
+    void set_daemons(std::map<std::string, daemons::registration> registrations, std::string leader,
+                     std::uint64_t leader_revision);
     [[nodiscard]] const std::map<std::string, daemons::registration>& registrations() const noexcept {
         return registrations_;
     }
-    /// Returns the version of the list of registered daemons.
+    /// Returns the daemons that are to become the leader, in the order of their precedence.
+    [[nodiscard]] const std::vector<std::string>& leader_candidates() const noexcept {
+        return leader_candidates_;
+    }
+    /// Returns the daemons that may have begun a takeover: the candidates, and the leader if it is none of
+    /// them. Another daemon that becomes the leader waits until no daemon relies on an older answer to this
+    /// question.
+    [[nodiscard]] std::vector<std::string> possible_leaders() const;
+    /// Returns the version of what the last read showed of registered daemons and the leader.
     [[nodiscard]] daemons::registration_list_version registration_list() const noexcept;
 
     [[nodiscard]] std::vector<backends::database_listing> databases_of(const std::string& service) const;
@@ -62,6 +71,9 @@
     std::map<std::string, listed_database> databases_;
     std::map<std::string, daemons::takeover_record> records_;
     std::map<std::string, daemons::registration> registrations_;
+    std::vector<std::string> leader_candidates_;
+    std::string leader_;
+    std::uint64_t leader_revision_ = 0;
 };
 
 } // namespace proxy
--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -2,6 +2,7 @@
 
 #include <base/clock.hpp>
 #include <base/event.hpp>
+#include <daemons/leader_candidates.hpp>
 #include <daemons/takeover_record.hpp>
 #include <http/sleep.hpp>
 #include <platform/store_transaction.hpp>
@@ -12,9 +13,9 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <iterator>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -136,7 +137,8 @@
             control_.adopt(record);
         }
         const auto own_registration = find_own_registration(entries);
-        control_.knowledge_.set_registrations(std::move(entries.registrations_));
+        control_.knowledge_.set_daemons(std::move(entries.registrations_), entries.leader_,
+                                        entries.leadership_revision_);
         control_.publish();
         if (!own_registration || (*own_registration)->run_ != control_.run_ ||
             (*own_registration)->is_marked_) {
@@ -148,6 +150,11 @@
             // request was sent.
             control_.registered_at_ = base::clock::now();
         }
+        if (!own_precedence()) {
+            control_.candidate_since_.reset();
+        } else if (!control_.candidate_since_) {
+            control_.candidate_since_ = base::clock::now();
+        }
         control_.fleet_read_requested_at_ = requested_at;
         control_.leader_ = entries.leader_;
         control_.primary_lease_.note_store_read(requested_at);
@@ -233,22 +240,29 @@
             polls_without_leader_ = 0;
             co_return;
         }
-        // A resignation wakes all daemons at once, and the store's transaction lets only one of them succeed.
+        // A resignation wakes all daemons at once, and the store's transaction lets only one of the
+        // candidates succeed.
         const bool may_acquire = polls_without_leader_ >= polls_before_acquisition() ||
-                                 leader == control_.address_ || has_resigned;
+                                 leader == control_.address_ || (has_resigned && own_precedence());
         ++polls_without_leader_;
         if (may_acquire) {
             co_await acquire_leadership(revision, has_resigned);
         }
     }
 
+    /// Returns this daemon's place among the candidates for the leadership, or nothing if it is none.
+    [[nodiscard]] std::optional<std::uint32_t> own_precedence() const {
+        const auto& candidates = control_.knowledge_.leader_candidates();
+        const auto found = std::find(candidates.begin(), candidates.end(), control_.address_);
+        return found == candidates.end()
+                   ? std::nullopt
+                   : std::optional{static_cast<std::uint32_t>(std::distance(candidates.begin(), found))};
+    }
+
     /// Returns for how many polls this daemon lets others acquire a free leadership first. Spreads the
-    /// attempts of the daemons over several polls.
+    /// attempts of the candidates over several polls; another daemon acquires it only if they all are gone.
     [[nodiscard]] std::uint32_t polls_before_acquisition() const {
-        const auto& registrations = control_.knowledge_.registrations();
-        const auto own_registration = registrations.find(control_.address_);
-        return static_cast<std::uint32_t>(
-            std::min<std::ptrdiff_t>(std::distance(registrations.begin(), own_registration), 4));
+        return own_precedence().value_or(polls_without_candidates);
     }
 
     boost::asio::awaitable<void> acquire_leadership(std::uint64_t current_revision, bool has_resigned) {
@@ -283,6 +297,8 @@
     static constexpr platform::backoff_limits retry_limits{base::clock::duration{60},
                                                            base::clock::duration{700}};
     static constexpr base::clock::duration call_timeout{700};
+    // Two more than the last candidate waits.
+    static constexpr std::uint32_t polls_without_candidates = daemons::max_leader_candidates + 1;
     // A fifth of the duration of a primary lease, so that one or two lost calls do not let it expire.
     static constexpr base::clock::duration poll_interval{500};
     // Two requests to the leader without a response.
--- a/libraries/proxy/peer_exchange.hpp
+++ b/libraries/proxy/peer_exchange.hpp
@@ -57,6 +57,9 @@
             case daemons::exchange_step::start_round:
                 start_round(now);
                 break;
+            case daemons::exchange_step::survey_peers:
+                survey_peers(now);
+                break;
             case daemons::exchange_step::ask_silent_peers:
                 ask_silent_peers(now);
                 break;
@@ -76,7 +79,7 @@
     void set_suspecting(bool is_suspecting) noexcept {
         if (is_suspecting && !is_suspecting_) {
             leader_request_ = {};
-            peer_round_ = {};
+            surveyed_at_.reset();
         }
         is_suspecting_ = is_suspecting;
     }
@@ -153,8 +156,7 @@
         /// When the peers without a response were last asked.
         base::clock::time_point repeated_at_{};
         std::set<std::string> responders_;
-        /// The daemons registered when the requests were sent. The round counts only if the list is
-        /// unchanged.
+        /// The possible leaders when the requests were sent. The round counts only if they are unchanged.
         std::vector<std::string> recipients_;
     };
     struct pending_request {
@@ -190,6 +192,9 @@
         if (leader_request_.number_ != 0) {
             state.since_leader_request_ = now - leader_request_.requested_at_;
         }
+        if (surveyed_at_) {
+            state.since_survey_ = now - *surveyed_at_;
+        }
         if (peer_round_.number_ != 0) {
             state.since_round_ = now - peer_round_.requested_at_;
             state.since_repeat_ = now - peer_round_.repeated_at_;
@@ -198,11 +203,26 @@
         return state;
     }
 
-    /// Sends one request to every registered peer.
+    /// Sends one request to every daemon that may have begun a takeover.
     void start_round(base::clock::time_point now) {
         const auto request = make_request(now);
-        peer_round_ = peer_round{request.number_, now, now, {}, peers()};
-        send_to_all(request);
+        peer_round_ = peer_round{request.number_, now, now, {}, round_recipients()};
+        const auto bytes = daemons::encode_message(daemons::fleet_message{request});
+        for (const auto& address : peer_round_.recipients_) {
+            send(address, bytes);
+        }
+    }
+
+    /// Asks every registered peer for its observations of the primaries.
+    void survey_peers(base::clock::time_point now) {
+        surveyed_at_ = now;
+        send_to_all(make_request(now));
+    }
+
+    [[nodiscard]] std::vector<std::string> round_recipients() const {
+        auto addresses = control_.knowledge_.possible_leaders();
+        std::erase(addresses, control_.address_);
+        return addresses;
     }
 
     /// Repeats the request of the current round to the peers that have not responded.
@@ -384,7 +404,8 @@
             peer_round_.responders_.insert(response.sender_);
         }
         const bool is_complete = peer_round_.responders_.size() == peer_round_.recipients_.size() &&
-                                 control_.active_takeovers_.empty() && peers() == peer_round_.recipients_;
+                                 control_.active_takeovers_.empty() &&
+                                 round_recipients() == peer_round_.recipients_;
         if (is_complete) {
             control_.primary_lease_.note_peer_round(peer_round_.requested_at_);
         }
@@ -444,6 +465,7 @@
     daemons::udp_transport transport_;
     peer_round peer_round_;
     pending_request leader_request_;
+    std::optional<base::clock::time_point> surveyed_at_;
     std::map<std::string, std::map<std::string, timed_observation>> peer_observations_;
     /// When the last message of each daemon arrived, by address.
     std::map<std::string, base::clock::time_point> last_message_at_;
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -393,12 +393,18 @@
     /// answer.
     [[nodiscard]] bool have_primary_leases_expired(const takeover& current,
                                                    base::clock::time_point now) const {
-        if (!control_.registered_at_) {
+        if (!control_.registered_at_ || !control_.leadership_) {
             return false;
         }
         const daemons::primary_lease_limits limits;
-        // Daemons that do not know this one yet may still base their lease on a peer round without it.
-        const auto known_to_all_at = *control_.registered_at_ + limits.peer_rounds_valid_for_;
+        // Daemons that know this one neither as a candidate nor as the leader yet may still base their lease
+        // on a peer round without it.
+        auto known_since = control_.leadership_->acquired_at_;
+        if (control_.candidate_since_) {
+            known_since =
+                std::min(known_since, std::max(*control_.registered_at_, *control_.candidate_since_));
+        }
+        const auto known_to_all_at = known_since + limits.peer_rounds_valid_for_;
         return now >=
                std::max(current.recorded_at_, known_to_all_at) + limits.valid_for_ + lease_expiry_margin;
     }
