--- a/tests/proxy/test_fleet_knowledge.cpp
+++ b/tests/proxy/test_fleet_knowledge.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -117,8 +118,10 @@
 
 // Guards against peer rounds that do not ask a leader that is no candidate: it may have begun a takeover.
 TEST(fleet_knowledge, CountsTheLeaderAmongThePossibleLeaders) {
+    constexpr std::size_t daemons = 117;
     std::vector<std::pair<std::string, std::uint64_t>> entries;
-    for (int number = 0; number < 117; ++number) {
+    entries.reserve(daemons);
+    for (std::size_t number = 0; number < daemons; ++number) {
         entries.emplace_back("10.1.0." + std::to_string(number) + ":7440", 5);
     }
     proxy::fleet_knowledge knowledge;
