Daemons, Proxy: Keep the store's load independent of the fleet when leaders change

Change: when the leader is gone, the five candidates read the store first; the others ask the candidates in a round, take over their evidence and learn from their responses who leads, and read the store themselves only 0.6 s before their leases end. A resignation, which a stopping leader now announces too, wakes the candidates only. What a peer confirms is the version of the possible leaders, that is of the candidates' registrations and the leader's key, as rounds rest on nothing else; candidates read the list every 3 s, because they respond only to daemons that they know. The others read it again when the size of the fleet has changed by an eighth, since the shares of scarce connections depend on it.

Tests: the tests of fleet_knowledge for lists of daemons hold unchanged for candidates; fleet_knowledge.CountsTheLeaderAmongThePossibleLeaders.

--- a/libraries/daemons/fleet_message.cpp
+++ b/libraries/daemons/fleet_message.cpp
@@ -4,11 +4,28 @@
 
 namespace daemons {
 
+namespace {
+
+std::uint64_t digest_of(const std::string& name, std::uint64_t revision) {
+    return XXH3_64bits_withSeed(name.data(), name.size(), revision);
+}
+
+} // namespace
+
+// The sums do not depend on the order of the entries.
+
 std::uint64_t digest_of(const std::vector<takeover_record>& records) {
-    // The sum does not depend on the order of the records.
     std::uint64_t digest = 0;
     for (const auto& record : records) {
-        digest += XXH3_64bits_withSeed(record->service_.data(), record->service_.size(), record->revision_);
+        digest += digest_of(record->service_, record->revision_);
+    }
+    return digest;
+}
+
+std::uint64_t digest_of(const std::vector<registration>& registrations) {
+    std::uint64_t digest = 0;
+    for (const auto& entry : registrations) {
+        digest += digest_of(entry->address_, entry->revision_);
     }
     return digest;
 }
--- a/libraries/daemons/fleet_message.hpp
+++ b/libraries/daemons/fleet_message.hpp
@@ -60,8 +60,14 @@
     /// not. An unregistered daemon is not asked before a takeover, so it must not renew its primary lease
     /// from peers' responses.
     std::uint64_t known_run_ = 0;
-    /// In a response: the version of the list of registered daemons at that store read.
-    registration_list_version registered_;
+    /// In a response: the version of the possible leaders at that store read.
+    possible_leaders_version possible_leaders_;
+    /// In a response: the number of registered daemons at that store read.
+    std::uint64_t registered_daemons_ = 0;
+    /// In a response: the peer address of the leader that the sender knows, and the revision of the leader's
+    /// key; empty and 0 if it knows none.
+    std::string leader_;
+    std::uint64_t leader_revision_ = 0;
     std::vector<takeover_record> records_;
     /// In a request and a response: identifies the takeover records that the sender knows. A response to a
     /// daemon that knows the same ones omits them.
@@ -81,5 +87,7 @@
 /// Returns a number that is equal for equal sets of takeover records. Records of a service with the same
 /// revision are equal. Thread safety: pure function.
 [[nodiscard]] std::uint64_t digest_of(const std::vector<takeover_record>& records);
+/// The same for registrations.
+[[nodiscard]] std::uint64_t digest_of(const std::vector<registration>& registrations);
 
 } // namespace daemons
--- a/libraries/daemons/takeover_record.hpp
+++ b/libraries/daemons/takeover_record.hpp
@@ -71,14 +71,14 @@
 
 using registration = base::immutable<registration_fields>;
 
-/// Identifies a list of registered daemons and their leader. What was read at different times is equal if the
-/// versions are: an added or changed entry has a higher revision than all before, and a removal of a
-/// registration changes the count.
-struct registration_list_version {
-    std::uint64_t count_ = 0;
-    std::uint64_t newest_revision_ = 0;
-
-    friend auto operator<=>(const registration_list_version&, const registration_list_version&) = default;
+/// Identifies the daemons that may become or be the leader. What was read at different times is equal if the
+/// versions are.
+struct possible_leaders_version {
+    /// Depends on the addresses of the candidates and the revisions of their registrations.
+    std::uint64_t candidates_digest_ = 0;
+    std::uint64_t leader_revision_ = 0;
+
+    friend auto operator<=>(const possible_leaders_version&, const possible_leaders_version&) = default;
 };
 
 [[nodiscard]] std::string encode_registration(const registration& entry);
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -160,8 +160,10 @@
     /// Services with a takeover that this daemon began and has not settled.
     std::set<std::string> active_takeovers_;
     std::optional<held_leadership> leadership_;
-    /// Peer address of the leader, as last read from the store.
+    /// Peer address of the leader to ask, from the store or a peer, and the revision of the leader's key
+    /// there.
     std::string leader_;
+    std::uint64_t leader_revision_ = 0;
     /// Send time of the last complete read of the fleet's keys.
     base::clock::time_point fleet_read_requested_at_{};
     /// Token of a leader that resigned without being able to remove its entry from the store; 0 for none.
--- a/libraries/proxy/fleet_knowledge.cpp
+++ b/libraries/proxy/fleet_knowledge.cpp
@@ -1,5 +1,6 @@
 #include <proxy/fleet_knowledge.hpp>
 
+#include <daemons/fleet_message.hpp>
 #include <daemons/leader_candidates.hpp>
 
 #include <algorithm>
@@ -100,12 +101,12 @@
     return daemons;
 }
 
-daemons::registration_list_version fleet_knowledge::registration_list() const noexcept {
-    daemons::registration_list_version version{registrations_.size(), leader_revision_};
-    for (const auto& [address, entry] : registrations_) {
-        version.newest_revision_ = std::max(version.newest_revision_, entry->revision_);
+daemons::possible_leaders_version fleet_knowledge::possible_leaders_version() const {
+    std::vector<daemons::registration> candidates;
+    for (const auto& address : leader_candidates_) {
+        candidates.push_back(registrations_.at(address));
     }
-    return version;
+    return {daemons::digest_of(candidates), leader_revision_};
 }
 
 backends::service_view fleet_knowledge::view_of(const std::string& service,
--- a/libraries/proxy/fleet_knowledge.hpp
+++ b/libraries/proxy/fleet_knowledge.hpp
@@ -47,8 +47,8 @@
     /// them. Another daemon that becomes the leader waits until no daemon relies on an older answer to this
     /// question.
     [[nodiscard]] std::vector<std::string> possible_leaders() const;
-    /// Returns the version of what the last read showed of registered daemons and the leader.
-    [[nodiscard]] daemons::registration_list_version registration_list() const noexcept;
+    /// Returns the version of the possible leaders that the last read showed.
+    [[nodiscard]] daemons::possible_leaders_version possible_leaders_version() const;
 
     [[nodiscard]] std::vector<backends::database_listing> databases_of(const std::string& service) const;
     [[nodiscard]] std::optional<backends::database_listing> find_database(const std::string& id) const;
--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -83,13 +83,15 @@
     }
 
     /// Removes this daemon's leader entry from the store, so that another daemon can become the leader at
-    /// once. Precondition: no takeover is under way.
-    [[nodiscard]] boost::asio::awaitable<void> release_leadership() {
+    /// once. Returns the token of the leadership, if this daemon held it. Precondition: no takeover is under
+    /// way.
+    [[nodiscard]] boost::asio::awaitable<std::optional<std::uint64_t>> release_leadership() {
         if (!control_.leadership_) {
-            co_return;
+            co_return std::nullopt;
         }
+        const auto token = control_.leadership_->token_;
         platform::store_transaction change;
-        change.expected_.push_back({std::string{fleet_keys::leadership}, control_.leadership_->token_});
+        change.expected_.push_back({std::string{fleet_keys::leadership}, token});
         change.removals_.push_back(std::string{fleet_keys::leadership});
         lose_leadership("the daemon is stopping");
         const auto result = co_await release_store_.change(std::move(change));
@@ -97,22 +99,25 @@
             base::log_event(events::store_call_failed,
                             {{"call", "release leadership"}, {"reason", result.last_reason().to_string()}});
         }
+        co_return token;
     }
 
 private:
     /// Waits until the next read is due. The leader reads in every interval; the other daemons rely on its
-    /// responses as long as they are fresh, so that the load on the store does not grow with the fleet.
+    /// responses as long as they are fresh. When it is gone, the candidates for the leadership read first,
+    /// and the others rely on their responses. So the load on the store does not grow with the fleet.
     boost::asio::awaitable<void> wait_until_due() {
         const auto last_read_at = base::clock::now();
         for (;;) {
             const auto is_poll_requested = co_await wait_for_poll_interval();
             const auto now = base::clock::now();
             const auto age = control_.primary_lease_.age(now);
-            const bool is_fresh = age && *age < fresh_lease_age;
+            const bool is_fresh = age && *age < (own_precedence() ? fresh_lease_age : max_peer_lease_age);
             const auto list_age = control_.primary_lease_.list_age(now);
             const bool is_list_fresh = list_age && *list_age < max_list_age;
+            const auto max_interval = own_precedence() ? candidate_poll_interval : max_poll_interval;
             if (is_poll_requested || control_.leadership_ || !is_fresh || !is_list_fresh ||
-                now - last_read_at >= max_poll_interval) {
+                now - last_read_at >= max_interval) {
                 co_return;
             }
         }
@@ -157,6 +162,7 @@
         }
         control_.fleet_read_requested_at_ = requested_at;
         control_.leader_ = entries.leader_;
+        control_.leader_revision_ = entries.leadership_revision_;
         control_.primary_lease_.note_store_read(requested_at);
         control_.publish_primary_lease();
         co_await maintain_leadership(entries, requested_at);
@@ -303,7 +309,11 @@
     static constexpr base::clock::duration poll_interval{500};
     // Two requests to the leader without a response.
     static constexpr base::clock::duration fresh_lease_age{1'200};
-    // The leader's responses confirm the list of registered daemons; without them it is read again well
+    // Leaves time for one read of the store before the lease expires.
+    static constexpr base::clock::duration max_peer_lease_age{1'900};
+    // A candidate answers only daemons that it knows as registered, so it has to learn soon of new ones.
+    static constexpr base::clock::duration candidate_poll_interval{3'000};
+    // The leader's responses confirm the possible leaders; without them the keys are read again well
     // before peer rounds stop to count.
     static constexpr base::clock::duration max_list_age{6'000};
     static constexpr base::clock::duration max_poll_interval{60'000};
--- a/libraries/proxy/peer_exchange.hpp
+++ b/libraries/proxy/peer_exchange.hpp
@@ -322,7 +322,9 @@
         case daemons::fleet_message_kind::resignation:
             if (control_.resigned_token_ != message->number_) {
                 control_.resigned_token_ = message->number_;
-                control_.poll_requested_.notify_all();
+                if (control_.candidate_since_) {
+                    control_.poll_requested_.notify_all();
+                }
             }
             break;
         case daemons::fleet_message_kind::suspicion:
@@ -354,7 +356,10 @@
         response.number_ = request->number_;
         response.store_read_age_ = control_.primary_lease_.store_age(now);
         response.known_run_ = known_run(request->sender_);
-        response.registered_ = control_.knowledge_.registration_list();
+        response.possible_leaders_ = control_.knowledge_.possible_leaders_version();
+        response.registered_daemons_ = control_.knowledge_.registrations().size();
+        response.leader_ = control_.leader_;
+        response.leader_revision_ = control_.leader_revision_;
         response.records_ = control_.knowledge_.records();
         response.records_digest_ = daemons::digest_of(response.records_);
         if (response.records_digest_ == request->records_digest_) {
@@ -378,13 +383,22 @@
         if (!control_.registered_at_) {
             return;
         }
+        if (response.leader_revision_ > control_.leader_revision_) {
+            control_.leader_ = response.leader_;
+            control_.leader_revision_ = response.leader_revision_;
+        }
         // A process that has not read the store yet has begun no takeover, and the previous process at its
         // address has ended, so its response counts.
         const bool is_fresh_process = response.known_run_ == 0 && !response.store_read_age_;
         if (response.known_run_ != control_.run_ && !is_fresh_process) {
             return;
         }
-        const bool is_same_list = response.registered_ == control_.knowledge_.registration_list();
+        if (!is_similar_size(response.registered_daemons_, control_.knowledge_.registrations().size()) &&
+            now - control_.fleet_read_requested_at_ > max_list_age) {
+            control_.poll_requested_.notify_all();
+        }
+        const bool is_same_list =
+            response.possible_leaders_ == control_.knowledge_.possible_leaders_version();
         const auto list = is_same_list ? daemons::peer_list::same : daemons::peer_list::other;
         if (!is_same_list) {
             refresh_list_if_old(now);
@@ -414,7 +428,14 @@
         }
     }
 
-    /// Requests a read of the fleet's keys when the list of registered daemons is old.
+    /// Returns whether the sizes of two fleets lead to about the same share of scarce connections.
+    [[nodiscard]] static bool is_similar_size(std::uint64_t first, std::uint64_t second) noexcept {
+        constexpr std::uint64_t tolerated_part = 8;
+        const auto difference = first > second ? first - second : second - first;
+        return difference * tolerated_part <= second;
+    }
+
+    /// Requests a read of the fleet's keys when the possible leaders were not confirmed for a while.
     void refresh_list_if_old(base::clock::time_point now) {
         const auto age = control_.primary_lease_.list_age(now);
         if (age && *age > max_list_age) {
@@ -452,9 +473,9 @@
     }
 
     static constexpr base::clock::duration receive_retry_delay{20};
-    // Two requests to the leader without a response; beyond this, all peers are asked.
-    static constexpr base::clock::duration lease_renewal_age{1'400};
-    // A quarter of the time for which peer rounds count after the list was read.
+    // Two requests to the leader without a response; beyond this, all possible leaders are asked.
+    static constexpr base::clock::duration lease_renewal_age{1'200};
+    // A quarter of the time for which peer rounds count after the possible leaders were confirmed.
     static constexpr base::clock::duration max_list_age{3'000};
     // A fraction of the intervals of the schedule that apply.
     static constexpr base::clock::duration urgent_check_interval{50};
--- a/libraries/proxy/session_daemon.hpp
+++ b/libraries/proxy/session_daemon.hpp
@@ -261,7 +261,9 @@
         while (takeovers_->is_busy() && base::clock::now() - started_at < grace / 3) {
             co_await http::sleep_for(stop_poll_interval);
         }
-        co_await poll_.release_leadership();
+        if (const auto token = co_await poll_.release_leadership()) {
+            peers_->announce_resignation(*token);
+        }
         co_await sleep_until(started_at + std::min(load_balancer_delay, grace / 3));
         set_drain_step(drain_step::closing_idle);
         co_await wait_for_sessions(started_at + grace / 2);
--- a/tests/daemons/test_exchange_schedule.cpp
+++ b/tests/daemons/test_exchange_schedule.cpp
@@ -149,7 +149,7 @@
     EXPECT_EQ(daemons::digest_of(records), daemons::digest_of({record("t", 8), record("s", 7)}));
     EXPECT_NE(daemons::digest_of(records), daemons::digest_of({record("s", 8), record("t", 7)}));
     EXPECT_NE(daemons::digest_of(records), daemons::digest_of({record("s", 7)}));
-    EXPECT_NE(daemons::digest_of(records), daemons::digest_of({}));
+    EXPECT_NE(daemons::digest_of(records), daemons::digest_of(std::vector<daemons::takeover_record>{}));
 }
 
 std::map<std::string, daemons::registration> fleet_of(int daemons) {
--- a/tests/daemons/test_lease.cpp
+++ b/tests/daemons/test_lease.cpp
@@ -194,9 +194,12 @@
     fields.run_ = 7;
     fields.store_read_age_ = ms(120);
     fields.known_run_ = 9;
-    fields.registered_ = {31, 77};
+    fields.possible_leaders_ = {31, 77};
+    fields.registered_daemons_ = 117;
     fields.records_ = {daemons::takeover_record{
         daemons::takeover_record_fields{"svc", daemons::takeover_phase::open, "i-1", "", 3}}};
+    fields.leader_ = "10.0.0.2:7440";
+    fields.leader_revision_ = 76;
     fields.records_digest_ = daemons::digest_of(fields.records_);
     fields.grace_ = ms(400);
     fields.active_takeovers_ = {"svc"};
--- a/tests/proxy/test_fleet_knowledge.cpp
+++ b/tests/proxy/test_fleet_knowledge.cpp
@@ -106,7 +106,7 @@
     const auto version_of = [](const std::vector<std::pair<std::string, std::uint64_t>>& entries) {
         proxy::fleet_knowledge knowledge;
         knowledge.set_daemons(registered(entries), {}, 0);
-        return knowledge.registration_list();
+        return knowledge.possible_leaders_version();
     };
     const auto first = version_of({{"a", 5}, {"b", 7}});
     EXPECT_EQ(first, version_of({{"a", 5}, {"b", 7}}));
@@ -128,11 +128,11 @@
     knowledge.set_daemons(registered(entries), {}, 0);
     const auto candidates = knowledge.leader_candidates();
     EXPECT_EQ(knowledge.possible_leaders(), candidates);
-    const auto without_leader = knowledge.registration_list();
+    const auto without_leader = knowledge.possible_leaders_version();
 
     knowledge.set_daemons(registered(entries), candidates[0], 9);
     EXPECT_EQ(knowledge.possible_leaders(), candidates);
-    EXPECT_NE(knowledge.registration_list(), without_leader);
+    EXPECT_NE(knowledge.possible_leaders_version(), without_leader);
 
     const auto other = std::find_if(entries.begin(), entries.end(), [&candidates](const auto& entry) {
         return std::find(candidates.begin(), candidates.end(), entry.first) == candidates.end();
