Daemons: Read the possible leaders before a takeover stops waiting for silent daemons

Cause, found by reading: a leader that a newly registered daemon had displaced as a candidate did not wait for the daemons that no longer ask it, if it had not read the list since: the wait used the time since when it had been a candidate as of its last read, before the takeover record.

Change: the wait ends only after a read that was sent after the record. Its end is a decision of its own, latest_lease_expiry.

Tests: latest_lease_expiry.WaitsUntilAllDaemonsKnowTheLeader and .WaitsForNewcomers.

--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -5,6 +5,7 @@
 #include <backends/statement_connection.hpp>
 #include <base/clock.hpp>
 #include <base/event.hpp>
+#include <daemons/lease_expiry.hpp>
 #include <daemons/takeover_claim.hpp>
 #include <daemons/takeover_decision.hpp>
 #include <daemons/takeover_record.hpp>
@@ -361,7 +362,7 @@
             const auto unstopped_peers = peers_.find_unstopped_peers(current.record_);
             const auto now = base::clock::now();
             // A daemon that is not on the list yet may have registered since the last read and used the
-            // primary before the record was written.
+            // primary before the record was written, or may have displaced this one as a candidate.
             const bool is_list_fresh = control_.fleet_read_requested_at_ >= current.recorded_at_;
             if (!is_list_fresh) {
                 control_.poll_requested_.notify_all();
@@ -377,7 +378,7 @@
                 log_step(current, "stop", "the primary stepped down");
                 break;
             }
-            if (have_primary_leases_expired(current, now)) {
+            if (is_list_fresh && have_primary_leases_expired(current, now)) {
                 log_step(current, "stop",
                          "evidence lapsed for " + std::to_string(unstopped_peers.size()) + " silent daemons");
                 break;
@@ -390,23 +391,15 @@
     }
 
     /// Returns whether every primary lease from before the record has expired, also on daemons that do not
-    /// answer.
+    /// answer. Precondition: the fleet's keys were read after the record was written.
     [[nodiscard]] bool have_primary_leases_expired(const takeover& current,
                                                    base::clock::time_point now) const {
         if (!control_.registered_at_ || !control_.leadership_) {
             return false;
         }
-        const daemons::primary_lease_limits limits;
-        // Daemons that know this one neither as a candidate nor as the leader yet may still base their lease
-        // on a peer round without it.
-        auto known_since = control_.leadership_->acquired_at_;
-        if (control_.candidate_since_) {
-            known_since =
-                std::min(known_since, std::max(*control_.registered_at_, *control_.candidate_since_));
-        }
-        const auto known_to_all_at = known_since + limits.peer_rounds_valid_for_;
-        return now >=
-               std::max(current.recorded_at_, known_to_all_at) + limits.valid_for_ + lease_expiry_margin;
+        const daemons::takeover_times times{current.recorded_at_, *control_.registered_at_,
+                                            control_.candidate_since_, control_.leadership_->acquired_at_};
+        return now >= daemons::latest_lease_expiry(times) + lease_expiry_margin;
     }
 
     /// Requests that the replaced primary becomes a replica. Returns whether it confirmed the role.
--- a/tests/daemons/test_lease.cpp
+++ b/tests/daemons/test_lease.cpp
@@ -1,4 +1,5 @@
 #include <daemons/fleet_message.hpp>
+#include <daemons/lease_expiry.hpp>
 #include <daemons/message_codec.hpp>
 #include <daemons/primary_lease.hpp>
 #include <daemons/takeover_claim.hpp>
@@ -223,6 +224,34 @@
     }
 }
 
+// Guards against a takeover that does not wait for daemons that ask others about takeovers, but not this one:
+// a leader that is no candidate, or a candidate that has displaced another one only now.
+TEST(latest_lease_expiry, WaitsUntilAllDaemonsKnowTheLeader) {
+    const daemons::primary_lease_limits limits{ms(2'500), ms(12'000)};
+    daemons::takeover_times times;
+    times.recorded_at_ = at(100'000);
+    times.registered_at_ = at(1'000);
+    times.acquired_at_ = at(99'000);
+    EXPECT_EQ(daemons::latest_lease_expiry(times, limits), at(99'000 + 12'000 + 2'500));
+    times.candidate_since_ = at(1'000);
+    EXPECT_EQ(daemons::latest_lease_expiry(times, limits), at(102'500));
+    times.candidate_since_ = at(98'000);
+    EXPECT_EQ(daemons::latest_lease_expiry(times, limits), at(98'000 + 12'000 + 2'500));
+    times.acquired_at_ = at(50'000);
+    EXPECT_EQ(daemons::latest_lease_expiry(times, limits), at(102'500));
+}
+
+// Guards against a takeover by a daemon that has just registered, which the others do not ask yet.
+TEST(latest_lease_expiry, WaitsForNewcomers) {
+    const daemons::primary_lease_limits limits{ms(2'500), ms(12'000)};
+    daemons::takeover_times times;
+    times.recorded_at_ = at(100'000);
+    times.registered_at_ = at(95'000);
+    times.candidate_since_ = at(95'000);
+    times.acquired_at_ = at(96'000);
+    EXPECT_EQ(daemons::latest_lease_expiry(times, limits), at(95'000 + 12'000 + 2'500));
+}
+
 // Guards against a takeover that waits for unresponsive daemons while its daemon loses the leadership and
 // acquires it again: the leader in between has finished the takeover, and continuing would promote a second
 // database next to the one in use.
