Operators: Explain a request from the logs of session daemons

sassafrasctl trace ID LOG... follows docs/OPERATIONS.md by itself: it says what happened and whether the request has run, and prints the lines around it that show the cause. What a line means is decided in libraries/operators without files; the command only reads and prints.

--- /dev/null
+++ b/libraries/operators/request_trace.cpp
@@ -0,0 +1,189 @@
+#include <operators/request_trace.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdlib>
+#include <ctime>
+#include <functional>
+#include <iomanip>
+#include <iterator>
+#include <sstream>
+#include <string_view>
+#include <utility>
+
+namespace operators {
+
+namespace {
+
+namespace event {
+constexpr int stop_started = 124;
+constexpr int service_changed = 127;
+constexpr int transaction_given_up = 131;
+constexpr int statement_done = 132;
+constexpr int takeover_begun = 140;
+constexpr int takeover_step = 141;
+constexpr int takeover_settled = 142;
+constexpr int duty_changed = 143;
+constexpr int evidence_changed = 144;
+constexpr int store_call_failed = 145;
+constexpr int statement_waited = 365;
+constexpr int database_condition_changed = 366;
+} // namespace event
+
+// A takeover lasts a second or two, and the loss of a primary lease follows its cause within 2.5 s.
+constexpr double related_seconds = 5;
+constexpr std::size_t max_related_lines = 40;
+
+/// Returns a time of a log line in seconds. Only differences count, so the time zone does not matter.
+double seconds_of(const std::string& time) {
+    std::tm date{};
+    std::istringstream input{time};
+    input >> std::get_time(&date, "%Y-%m-%dT%H:%M:%S");
+    const auto point = time.find('.');
+    const double fraction = point == std::string::npos ? 0 : std::strtod(time.c_str() + point, nullptr);
+    return static_cast<double>(timegm(&date)) + fraction;
+}
+
+/// A cause: which lines belong to it, and how to describe it.
+struct explanation {
+    std::string conclusion_;
+    /// Whether a line of the same time belongs to the cause.
+    std::function<bool(const log_line&)> is_related_;
+};
+
+template <std::size_t Size>
+bool is_one_of(int number, const std::array<int, Size>& events) {
+    return std::find(events.begin(), events.end(), number) != events.end();
+}
+
+bool starts_with(const std::string& text, std::string_view start) {
+    return std::string_view{text}.starts_with(start);
+}
+
+explanation explain_without_database(const log_line& last) {
+    const bool has_lease = !starts_with(last.field("evidence_left_ms"), "-");
+    if (has_lease) {
+        return {"No database might serve the request, although this daemon might use primaries: the service "
+                "had no "
+                "primary in use. It has not run.",
+                [service = last.field("service")](const log_line& line) {
+                    constexpr std::array events{event::service_changed, event::takeover_begun,
+                                                event::takeover_step, event::takeover_settled,
+                                                event::database_condition_changed};
+                    return is_one_of(line.event_, events) && line.field("service") == service;
+                }};
+    }
+    return {"This daemon had no primary lease: it could neither read the store nor hear from the daemons "
+            "that may "
+            "have begun a takeover. The request has not run.",
+            [source = last.source_](const log_line& line) {
+                constexpr std::array events{event::duty_changed, event::evidence_changed,
+                                            event::store_call_failed};
+                return is_one_of(line.event_, events) && line.source_ == source;
+            }};
+}
+
+explanation explain_overload(const log_line& last) {
+    const auto detail = last.field("detail");
+    if (detail == "no database may serve it now") {
+        return explain_without_database(last);
+    }
+    const bool was_refused_at_once = starts_with(detail, "queue expected_wait_ms");
+    return {was_refused_at_once ? "The queue of the service was too long for the request's objective, so it "
+                                  "was refused on arrival. "
+                                  "It has not run."
+                                : "The request found no connection in its time: the databases of the service "
+                                  "were overloaded, behind "
+                                  "or out of connections. It has not run.",
+            [service = last.field("service"), source = last.source_](const log_line& line) {
+                return line.event_ == event::statement_waited && line.field("service") == service &&
+                       line.source_ == source;
+            }};
+}
+
+explanation explain_unknown(const log_line& last) {
+    const bool was_replaced = last.field("detail") == "the primary may have been replaced";
+    return {was_replaced
+                ? "A database answered, but the primary lease had ended or a takeover had begun by then. The "
+                  "write may or may not be kept: read it back."
+                : "The database's answer was lost. The write may have run, and was not sent again: read it "
+                  "back.",
+            [service = last.field("service")](const log_line& line) {
+                constexpr std::array events{event::takeover_begun, event::takeover_settled,
+                                            event::evidence_changed, event::database_condition_changed};
+                const auto other = line.field("service");
+                return is_one_of(line.event_, events) && (other.empty() || other == service);
+            }};
+}
+
+explanation explain_abort(const log_line& last) {
+    return {"The transaction was ended before its commit was sent. Nothing of it is kept.",
+            [service = last.field("service"), source = last.source_](const log_line& line) {
+                constexpr std::array own_events{event::stop_started, event::transaction_given_up};
+                constexpr std::array service_events{event::takeover_begun, event::takeover_settled,
+                                                    event::database_condition_changed};
+                return (is_one_of(line.event_, own_events) && line.source_ == source) ||
+                       (is_one_of(line.event_, service_events) && line.field("service") == service);
+            }};
+}
+
+explanation explain(const log_line& last) {
+    const auto nothing_related = [](const log_line& /*line*/) {
+        return false;
+    };
+    if (last.event_ == event::statement_done) {
+        return {"A database answered the last statement with '" + last.field("status") +
+                    "'. If the client has no answer, it was lost between the daemon and the client.",
+                nothing_related};
+    }
+    const auto status = last.field("status");
+    if (status == "overloaded") {
+        return explain_overload(last);
+    }
+    if (status == "unknown") {
+        return explain_unknown(last);
+    }
+    if (status == "aborted") {
+        return explain_abort(last);
+    }
+    return {"The last statement ended with '" + status + "' at " + last.field("at") + ".", nothing_related};
+}
+
+void sort_by_time(std::vector<log_line>& lines) {
+    std::stable_sort(lines.begin(), lines.end(), [](const log_line& first, const log_line& second) {
+        return first.time_ < second.time_;
+    });
+}
+
+} // namespace
+
+request_trace trace_request(const std::string& id, const std::vector<log_line>& lines) {
+    request_trace trace;
+    std::copy_if(lines.begin(), lines.end(), std::back_inserter(trace.own_lines_),
+                 [&id](const log_line& line) { return line.field("id") == id; });
+    sort_by_time(trace.own_lines_);
+    if (trace.own_lines_.empty()) {
+        trace.conclusion_ =
+            "No line has this id. The daemon that received the request was killed before it wrote one "
+            "(a start, E120, without a stop, E124), or left the line out (E133). The outcome is "
+            "unknown: read back before repeating.";
+        return trace;
+    }
+    const auto& last = trace.own_lines_.back();
+    auto found = explain(last);
+    trace.conclusion_ = std::move(found.conclusion_);
+    const auto ended_at = seconds_of(last.time_);
+    std::copy_if(lines.begin(), lines.end(), std::back_inserter(trace.related_lines_),
+                 [&found, ended_at](const log_line& line) {
+                     return found.is_related_(line) &&
+                            std::abs(seconds_of(line.time_) - ended_at) <= related_seconds;
+                 });
+    sort_by_time(trace.related_lines_);
+    if (trace.related_lines_.size() > max_related_lines) {
+        trace.related_lines_.resize(max_related_lines);
+    }
+    return trace;
+}
+
+} // namespace operators
--- /dev/null
+++ b/tests/operators/test_request_trace.cpp
@@ -0,0 +1,103 @@
+#include <operators/request_trace.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using operators::log_line;
+using operators::parse_log_line;
+using operators::trace_request;
+
+std::vector<log_line> parse(const std::vector<std::pair<std::string, std::string>>& texts) {
+    std::vector<log_line> lines;
+    lines.reserve(texts.size());
+    for (const auto& [source, text] : texts) {
+        lines.push_back(parse_log_line(source, text).value());
+    }
+    return lines;
+}
+
+TEST(parse_log_line, ReadsFieldsAndIgnoresWhatStandsBefore) {
+    const auto line = parse_log_line(
+        "a",
+        R"(  8.1 host-1 2026-07-18T03:04:30.058 info E130 statement_not_done id=7f detail="no \"x\" now" at=-)");
+    ASSERT_TRUE(line);
+    EXPECT_EQ(line->time_, "2026-07-18T03:04:30.058");
+    EXPECT_EQ(line->event_, 130);
+    EXPECT_EQ(line->field("id"), "7f");
+    EXPECT_EQ(line->field("detail"), "no \"x\" now");
+    EXPECT_EQ(line->field("at"), "-");
+    EXPECT_EQ(line->field("other"), "");
+    EXPECT_TRUE(line->text_.starts_with("2026-07-18T03"));
+}
+
+TEST(parse_log_line, IgnoresOtherLines) {
+    for (const auto* text : {"", "T", "2026-07-18T03:04:30.058", "2026-07-18T03:04:30.058 info hello",
+                             "2026-07-18T03:04:30.058 info E12x name", "to play it took 6.7 s"}) {
+        EXPECT_FALSE(parse_log_line("a", text)) << text;
+    }
+}
+
+RC_GTEST_PROP(parse_log_line, SurvivesAnyText, (const std::string& text)) {
+    static_cast<void>(parse_log_line("a", text));
+    static_cast<void>(parse_log_line("a", "2026-07-18T03:04:30.058 info E130 name " + text));
+}
+
+// Guards against an engineer who looks for a takeover although the daemon itself was cut off.
+TEST(trace_request, FindsALostPrimaryLease) {
+    const auto trace = trace_request(
+        "7f",
+        parse({{"a", "2026-07-18T03:04:30.000 warning E144 evidence_changed held=no"},
+               {"b", "2026-07-18T03:04:30.000 warning E144 evidence_changed held=no"},
+               {"a", "2026-07-18T03:04:20.000 warning E145 store_call_failed call=fleet"},
+               {"a", "2026-07-18T03:04:31.000 info E130 statement_not_done id=7f service=s status=overloaded "
+                     "evidence_left_ms=-900 detail=\"no database may serve it now\""}}));
+    EXPECT_NE(trace.conclusion_.find("no primary lease"), std::string::npos);
+    EXPECT_EQ(trace.own_lines_.size(), 1U);
+    ASSERT_EQ(trace.related_lines_.size(), 1U);
+    EXPECT_EQ(trace.related_lines_[0].source_, "a");
+}
+
+TEST(trace_request, FindsTheTakeoverOfTheService) {
+    const auto trace = trace_request(
+        "7f",
+        parse({{"b", "2026-07-18T03:04:32.000 warning E142 takeover_settled service=s primary=i-2"},
+               {"b", "2026-07-18T03:04:30.500 warning E140 takeover_begun service=s primary=i-1"},
+               {"b", "2026-07-18T03:04:30.500 warning E140 takeover_begun service=t primary=i-9"},
+               {"a", "2026-07-18T03:04:31.000 info E130 statement_not_done id=7f service=s status=overloaded "
+                     "evidence_left_ms=2000 detail=\"no database may serve it now\""}}));
+    EXPECT_NE(trace.conclusion_.find("no primary in use"), std::string::npos);
+    ASSERT_EQ(trace.related_lines_.size(), 2U);
+    EXPECT_EQ(trace.related_lines_[0].event_, 140);
+    EXPECT_EQ(trace.related_lines_[1].event_, 142);
+}
+
+// Guards against a write that may have run and is called not run.
+TEST(trace_request, CallsALostAnswerUnknown) {
+    const auto trace = trace_request(
+        "7f", parse({{"a", "2026-07-18T03:04:31.000 info E130 statement_not_done id=7f service=s "
+                           "status=unknown detail=\"connection lost\""}}));
+    EXPECT_NE(trace.conclusion_.find("may have run"), std::string::npos);
+    EXPECT_EQ(trace.conclusion_.find("has not run"), std::string::npos);
+}
+
+// Guards against a conclusion about a request of which nothing is known.
+TEST(trace_request, CallsARequestWithoutALineUnknown) {
+    const auto trace = trace_request(
+        "7f", parse({{"a", "2026-07-18T03:04:31.000 info E132 statement_done id=8a status=done"}}));
+    EXPECT_TRUE(trace.own_lines_.empty());
+    EXPECT_NE(trace.conclusion_.find("read back"), std::string::npos);
+}
+
+TEST(trace_request, TellsThatADatabaseAnswered) {
+    const auto trace = trace_request(
+        "8a", parse({{"a", "2026-07-18T03:04:31.000 info E132 statement_done id=8a status=done"}}));
+    EXPECT_NE(trace.conclusion_.find("answered"), std::string::npos);
+}
+
+} // namespace
--- a/utilities/sassafrasctl/command_line.cpp
+++ b/utilities/sassafrasctl/command_line.cpp
@@ -2,6 +2,7 @@
 
 #include <utilities/sassafrasctl/daemon_commands.hpp>
 #include <utilities/sassafrasctl/file_commands.hpp>
+#include <utilities/sassafrasctl/log_commands.hpp>
 #include <utilities/sassafrasctl/print.hpp>
 
 #include <array>
@@ -17,9 +18,10 @@
 };
 
 constexpr std::array commands{
-    command_description{"check", check_files},       command_description{"publish", publish_folder},
-    command_description{"status", show_status},      command_description{"stats", show_statistics},
-    command_description{"explain", explain_request}, command_description{"drain", drain_daemon},
+    command_description{"check", check_files},          command_description{"publish", publish_folder},
+    command_description{"status", show_status},         command_description{"stats", show_statistics},
+    command_description{"explain", explain_request},    command_description{"drain", drain_daemon},
+    command_description{"trace", trace_logged_request},
 };
 
 } // namespace
@@ -53,6 +55,7 @@
         "tenant,\n"
         "                       rank, access, read_class, session, idempotency_key, deadline_ms, statement\n"
         "  drain                make a daemon finish its requests and exit (needs --daemon)\n"
+        "  trace ID LOG...      explain a request from the logs of session daemons\n"
         "\n"
         "Flags:\n"
         "  --daemon ADDRESS     operator address of a daemon, for example 127.0.0.1:7002\n"
