Proxy: Watch the configuration from the revision of the read

A watch of 30 s outlives the 20 s for which the store keeps its history, so the next one got 410; the configuration was then read and watched from the revision of the last change of its key, which the store had forgotten as well, and so on every 120 ms until the next change. The second half was there before: any cut of the watch led to it.

Change: a read tells the store's revision, and the watch starts there; a watch waits for 15 s.

--- a/libraries/platform/store_item.hpp
+++ b/libraries/platform/store_item.hpp
@@ -14,6 +14,8 @@
     std::string value_;
     /// The revision of the last change of this key.
     std::uint64_t revision_ = 0;
+    /// The store's revision at the time of the response; 0 for an item of a page or an event.
+    std::uint64_t read_at_ = 0;
 
     friend auto operator<=>(const store_item&, const store_item&) = default;
 };
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -41,7 +41,8 @@
             delay.record_success();
             std::uint64_t revision = 0;
             if (item) {
-                revision = item->revision_;
+                // The history may no longer reach back to the last change of the key.
+                revision = item->read_at_;
                 apply_configuration(item->value_);
             } else {
                 co_await http::sleep_for(first_configuration_poll_interval);
@@ -198,9 +199,9 @@
     static constexpr base::clock::duration call_timeout{700};
     // Long, because every call to the store has a cost, a watch without changes too. A dead connection is
     // detected by its keep-alive probes within three seconds.
-    // TCP keep-alive detects a connection that has gone silent, so the longest wait that the store takes is
-    // safe.
-    static constexpr base::clock::duration watch_timeout{30'000};
+    // TCP keep-alive detects a connection that has gone silent. The wait is shorter than the time for which the
+    // store keeps its history; otherwise the next watch would find that its start is gone.
+    static constexpr base::clock::duration watch_timeout{15'000};
     // Prevents a busy loop against a store that refuses watches but answers reads.
     static constexpr base::clock::duration delay_after_watch{120};
     static constexpr base::clock::duration first_configuration_poll_interval{250};
--- a/tests/adapter/test_store_messages.cpp
+++ b/tests/adapter/test_store_messages.cpp
@@ -43,7 +43,8 @@
     const auto item = adapter::decode_item(
         R"({"key":"k","value":"bm9kZS0x","revision":412,"created":412,"lease":7,"at":530})");
     ASSERT_TRUE(item);
-    EXPECT_EQ(*item, (platform::store_item{"k", "node-1", 412}));
+    EXPECT_EQ(*item, (platform::store_item{"k", "node-1", 412, 530}));
+    EXPECT_FALSE(adapter::decode_item(R"({"key":"k","value":"bm9kZS0x","revision":412})"));
     const auto page = adapter::decode_page(
         R"({"items":[{"key":"k","value":"","revision":1,"created":1,"lease":0}],"has-more":true,"at":530})");
     ASSERT_TRUE(page);
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -3,8 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -267,6 +270,28 @@
     EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 4", "COMPLETE sig.i-2"));
 }
 
+// Guards against a daemon that reads the configuration again and again because the store has forgotten the
+// last change of its key: on a calm day of the bench, 28 daemons called the store 8,400 times.
+TEST(session_daemon, WatchesAConfigurationOlderThanTheHistoryOfTheStore) {
+    session_fleet fleet{port_of_test(12)};
+    fleet.publish_all();
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.store().put("servers/other", "{}");
+        fixture.store().forget_history();
+    });
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    const auto count_calls = [&fleet] {
+        std::uint64_t calls = 0;
+        fleet.run_on_stand_in_thread([&calls](session_fleet& fixture) { calls = fixture.store().calls(); });
+        return calls;
+    };
+    const auto before = count_calls();
+    std::this_thread::sleep_for(std::chrono::seconds{2});
+    // The leader reads the fleet's keys and renews its lease twice a second each.
+    EXPECT_LE(count_calls() - before, 16U);
+}
+
 // Guards against daemons that cannot reach the store and still use or replace a primary: writes must be
 // refused as not run once the primary lease has expired, and served again when the store is back.
 TEST(session_daemon, RefusesWritesWithoutEvidenceAndRecovers) {
--- a/tests/proxy/test_stored_fleet.cpp
+++ b/tests/proxy/test_stored_fleet.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint64_t revision = 412;
 
 std::optional<std::string> decode(const std::string& key, const std::string& value, stored_fleet& fleet) {
-    return proxy::decode_item(platform::store_item{key, value, revision}, fleet);
+    return proxy::decode_item(platform::store_item{key, value, revision, 0}, fleet);
 }
 
 // Values that another writer may leave under any key.
