--- a/libraries/daemons/exchange_schedule.cpp
+++ b/libraries/daemons/exchange_schedule.cpp
@@ -8,7 +8,7 @@
 
 using base::clock;
 
-// Three requests to the leader fit into the time after which a daemon turns to all peers.
+// Three requests to the leader fit into the time after which a daemon asks the possible leaders.
 constexpr clock::duration leader_request_interval{400};
 // A round extends the primary lease from the time at which it was started, so it is worth waiting for lost
 // responses; a new one is due well before the lease expires.
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -199,8 +199,8 @@
     static constexpr base::clock::duration call_timeout{700};
     // Long, because every call to the store has a cost, a watch without changes too. A dead connection is
     // detected by its keep-alive probes within three seconds.
-    // TCP keep-alive detects a connection that has gone silent. The wait is shorter than the time for which the
-    // store keeps its history; otherwise the next watch would find that its start is gone.
+    // TCP keep-alive detects a connection that has gone silent. The wait is shorter than the time for which
+    // the store keeps its history; otherwise the next watch would find that its start is gone.
     static constexpr base::clock::duration watch_timeout{15'000};
     // Prevents a busy loop against a store that refuses watches but answers reads.
     static constexpr base::clock::duration delay_after_watch{120};
