Proxy: Wait for the primary leases of silent daemons in each takeover

Cause: a daemon that was suspended, or cut off from the store and its peers, still had a primary lease (2.5 s), and the leader went on as soon as the old primary had stepped down. A database that has stepped down refuses writes and still answers reads.

The new test session_daemon.ReadsNothingFromAReplacedPrimaryAfterASuspension failed on the old code with reads of i-0 after i-1 had acknowledged a write, and passes now.

Change: the step-down is no longer a reason to go on; every daemon has answered, or its lease has ended. A planned takeover starts once every daemon was heard since the primary began to drain, or after 1.5 s, because the primary still serves then, while a takeover beside a silent daemon leaves the service without one for 2.8 s.

Ruled out: comparing terms in the answers (a replica reports the old term until it hears of the new primary), and checking the lease once more when an answer arrives (it is still valid). test_daemons and test_proxy pass.

--- a/libraries/daemons/takeover_decision.cpp
+++ b/libraries/daemons/takeover_decision.cpp
@@ -8,6 +8,9 @@
 constexpr base::clock::duration min_failure_duration{120};
 // Applies when no peer confirms the failure: longer than a burst of lost packets or a full accept queue.
 constexpr base::clock::duration min_unconfirmed_failure_duration{1'500};
+// Longer than a short suspension of a daemon, and a small part of the time for which a leaving database
+// serves.
+constexpr base::clock::duration max_planned_delay{1'500};
 // A database that restarts in place is listed as primary again sooner than this.
 constexpr base::clock::duration min_demotion_duration{1'000};
 
@@ -17,7 +20,9 @@
     if (condition.is_being_replaced_) {
         return takeover_decision::finish;
     }
-    if (condition.is_draining_) {
+    const bool is_planned_due = condition.draining_for_ && (condition.unheard_peers_ == 0 ||
+                                                            *condition.draining_for_ >= max_planned_delay);
+    if (is_planned_due) {
         return takeover_decision::replace_planned;
     }
     if (condition.demoted_for_ && *condition.demoted_for_ >= min_demotion_duration) {
--- a/libraries/daemons/takeover_decision.hpp
+++ b/libraries/daemons/takeover_decision.hpp
@@ -12,8 +12,10 @@
 struct primary_condition {
     /// A takeover has begun and is not finished.
     bool is_being_replaced_ = false;
-    /// The primary reports that it drains.
-    bool is_draining_ = false;
+    /// How long the primary has reported that it drains.
+    std::optional<base::clock::duration> draining_for_;
+    /// Number of other daemons that have sent nothing since then.
+    std::uint32_t unheard_peers_ = 0;
     /// How long it has been missing from the server list.
     std::optional<base::clock::duration> unlisted_for_;
     /// How long it has been listed as a replica.
@@ -42,7 +44,9 @@
 };
 
 /// Decides whether a primary is replaced: when this daemon and a second one find that it fails and no daemon
-/// reaches it. A primary that only some daemons cannot reach is kept. Thread safety: pure.
+/// reaches it. A primary that only some daemons cannot reach is kept. One that drains is replaced as soon as
+/// all daemons were heard, or after a short delay: it still serves, whereas a takeover beside a silent daemon
+/// leaves the service without a primary until that daemon's lease has expired. Thread safety: pure.
 [[nodiscard]] takeover_decision decide_takeover(const primary_condition& condition) noexcept;
 
 } // namespace daemons
--- a/libraries/proxy/peer_exchange.hpp
+++ b/libraries/proxy/peer_exchange.hpp
@@ -149,6 +149,20 @@
         return found == last_message_at_.end() ? std::nullopt : std::optional{found->second};
     }
 
+    /// Counts the registered peers that have sent nothing since a moment. Peers that were marked as silent
+    /// before are left out.
+    [[nodiscard]] std::uint32_t count_unheard_since(base::clock::time_point moment) const {
+        std::uint32_t count = 0;
+        for (const auto& [address, entry] : control_.knowledge_.registrations()) {
+            const auto heard_at = last_message_time(address);
+            const bool is_expected = address != control_.address_ && !entry->is_marked_;
+            if (is_expected && (!heard_at || *heard_at < moment)) {
+                ++count;
+            }
+        }
+        return count;
+    }
+
 private:
     struct peer_round {
         std::uint64_t number_ = 0;
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -72,6 +72,12 @@
 
     enum class takeover_reason : std::uint8_t { planned, failed, unfinished };
 
+    /// A primary that is listed as draining, and when this daemon first saw that.
+    struct draining_primary {
+        std::string database_;
+        base::clock::time_point since_{};
+    };
+
     /// One replacement of a primary.
     struct takeover {
         std::string service_;
@@ -168,9 +174,13 @@
         }
         const auto listing = control_.knowledge_.find_database(view.primary_);
         if (listing) {
-            condition.is_draining_ = (*listing)->state_ == backends::listed_state::draining;
+            track_draining(service, *listing, now);
             track_demotion(service, *listing, now);
         }
+        if (const auto draining = draining_.find(service); draining != draining_.end()) {
+            condition.draining_for_ = now - draining->second.since_;
+            condition.unheard_peers_ = peers_.count_unheard_since(draining->second.since_);
+        }
         if (const auto demoted_at = demoted_at_.find(service); demoted_at != demoted_at_.end()) {
             condition.demoted_for_ = now - demoted_at->second;
         }
@@ -195,6 +205,18 @@
         return condition;
     }
 
+    void track_draining(const std::string& service, const backends::database_listing& primary,
+                        base::clock::time_point now) {
+        if (primary->state_ != backends::listed_state::draining) {
+            draining_.erase(service);
+            return;
+        }
+        auto& known = draining_[service];
+        if (known.database_ != primary->id_) {
+            known = draining_primary{primary->id_, now};
+        }
+    }
+
     void track_demotion(const std::string& service, const backends::database_listing& primary,
                         base::clock::time_point now) {
         const auto record = control_.knowledge_.record_of(service);
@@ -338,8 +360,9 @@
     }
 
     /// Waits until no daemon uses the replaced primary: every daemon has confirmed that it stopped, or the
-    /// primary has stepped down, or the primary leases of the silent daemons have expired. Returns whether
-    /// the takeover may continue.
+    /// primary leases of the silent daemons have expired. That the primary has stepped down is not enough: it
+    /// refuses writes then, but still answers the reads of a daemon that has not heard of the takeover.
+    /// Returns whether the takeover may continue.
     boost::asio::awaitable<bool> stop_using_primary(const takeover& current) {
         const auto grace = current.reason_ == takeover_reason::planned ? planned_grace : failed_grace;
         boost::asio::co_spawn(control_.context_,
@@ -374,10 +397,6 @@
             if (now >= step_down_at && !has_stepped_down) {
                 has_stepped_down = co_await step_down(current);
             }
-            if (has_stepped_down && now >= step_down_at) {
-                log_step(current, "stop", "the primary stepped down");
-                break;
-            }
             if (is_list_fresh && have_primary_leases_expired(current, now)) {
                 log_step(current, "stop",
                          "evidence lapsed for " + std::to_string(unstopped_peers.size()) + " silent daemons");
@@ -688,6 +707,8 @@
     peer_exchange<Platform>& peers_;
     typename Platform::promoter promoter_;
     std::map<std::string, base::clock::time_point> demoted_at_;
+    /// By service.
+    std::map<std::string, draining_primary> draining_;
     /// Last log position of each replaced primary that reported one, by service.
     std::map<std::string, base::log_position> final_positions_;
     /// When a marked registration was first seen, by its revision.
--- a/tests/daemons/test_lease.cpp
+++ b/tests/daemons/test_lease.cpp
@@ -150,14 +150,34 @@
 
 TEST(decide_takeover, ReplacesADrainingPrimary) {
     daemons::primary_condition condition;
-    condition.is_draining_ = true;
+    condition.draining_for_ = base::clock::duration{0};
     EXPECT_EQ(daemons::decide_takeover(condition), takeover_decision::replace_planned);
 }
 
+// Guards against a planned takeover that starts beside a daemon that is silent for a moment, and against one
+// that never starts beside a daemon that is gone.
+TEST(decide_takeover, DelaysThePlannedReplacementBrieflyForSilentDaemons) {
+    daemons::primary_condition condition;
+    condition.draining_for_ = base::clock::duration{1'400};
+    condition.unheard_peers_ = 1;
+    EXPECT_EQ(daemons::decide_takeover(condition), takeover_decision::nothing);
+    condition.draining_for_ = base::clock::duration{1'500};
+    EXPECT_EQ(daemons::decide_takeover(condition), takeover_decision::replace_planned);
+}
+
+// Guards against waiting for silent daemons while the draining primary has already failed.
+TEST(decide_takeover, ReplacesADrainingPrimaryThatFailsAtOnce) {
+    auto condition = failing(150);
+    condition.draining_for_ = base::clock::duration{0};
+    condition.unheard_peers_ = 1;
+    condition.peers_failing_ = 1;
+    EXPECT_EQ(daemons::decide_takeover(condition), takeover_decision::replace_failed);
+}
+
 TEST(decide_takeover, FinishesATakeoverOfAnEarlierLeader) {
     auto condition = failing(500);
     condition.is_being_replaced_ = true;
-    condition.is_draining_ = true;
+    condition.draining_for_ = base::clock::duration{0};
     EXPECT_EQ(daemons::decide_takeover(condition), takeover_decision::finish);
 }
 
--- a/tests/proxy/session_fleet.cpp
+++ b/tests/proxy/session_fleet.cpp
@@ -73,10 +73,14 @@
 }
 
 std::string session_client::run(const std::string& text) {
+    return send(text) ? read_response() : std::string{};
+}
+
+bool session_client::send(const std::string& text) {
     boost::system::error_code failure;
     const auto line = "QUERY id" + std::to_string(++last_id_) + " " + text + "\r\n";
     asio::write(socket_, asio::buffer(line), failure);
-    return failure ? std::string{} : read_response();
+    return !failure;
 }
 
 std::string session_client::read_response() {
@@ -241,6 +245,19 @@
     return static_cast<std::uint16_t>(first_port_ + daemon_offset + number * ports_of_daemon);
 }
 
+std::optional<std::size_t> session_fleet::leader() {
+    std::string entry;
+    run_on_stand_in_thread(
+        [&entry](session_fleet& fleet) { entry = fleet.store().value_of("sassafrasdeal/duty"); });
+    for (std::size_t number = 0; number < daemons_.size(); ++number) {
+        const auto address = local_address(static_cast<std::uint16_t>(client_port(number) + peer_offset));
+        if (entry.starts_with(address + " ")) {
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
 void session_fleet::run_on_stand_in_thread(const std::function<void(session_fleet&)>& function) {
     std::promise<void> done;
     asio::post(context_, [this, &function, &done] {
--- a/tests/proxy/session_fleet.hpp
+++ b/tests/proxy/session_fleet.hpp
@@ -27,13 +27,15 @@
     /// Sends a statement and returns the lines of its response, joined with `|`. Empty when the connection
     /// has ended.
     [[nodiscard]] std::string run(const std::string& text);
+    /// Sends a statement without waiting for its response. Returns whether the connection still was open.
+    bool send(const std::string& text);
+    /// Returns the response to the oldest statement without one, like `run`.
+    [[nodiscard]] std::string read_response();
     [[nodiscard]] const std::string& greeting() const noexcept { return greeting_; }
     /// Returns whether the daemon closes the connection within `response_timeout_s`.
     [[nodiscard]] bool is_closed_by_daemon();
 
 private:
-    [[nodiscard]] std::string read_response();
-
     boost::asio::io_context context_;
     boost::asio::ip::tcp::socket socket_;
     std::string input_;
@@ -64,6 +66,8 @@
     /// Returns the HTTP response of a daemon's metrics endpoint.
     [[nodiscard]] std::string metrics(std::size_t number) const;
     [[nodiscard]] std::uint16_t client_port(std::size_t number) const;
+    /// Returns the number of the daemon that the store shows as the leader, or nothing while there is none.
+    [[nodiscard]] std::optional<std::size_t> leader();
 
     /// Runs a function on the stand-ins' thread and waits for its end.
     void run_on_stand_in_thread(const std::function<void(session_fleet&)>& function);
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -164,6 +165,41 @@
     EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 2", "COMPLETE sig.i-1"));
 }
 
+// Guards against stale reads at a primary that has stepped down, by a daemon that was suspended during a
+// planned takeover and still has a primary lease (review/1).
+TEST(session_daemon, ReadsNothingFromAReplacedPrimaryAfterASuspension) {
+    session_fleet fleet{port_of_test(13)};
+    fleet.publish_all();
+    const std::size_t daemons = 2;
+    for (std::size_t number = 0; number < daemons; ++number) {
+        ASSERT_TRUE(fleet.becomes_ready(fleet.start_daemon()));
+    }
+    ASSERT_TRUE(eventually([&fleet] { return fleet.leader().has_value(); }));
+    const auto leader = *fleet.leader();
+    const auto suspended = daemons - 1 - leader;
+    std::vector<std::unique_ptr<session_client>> readers;
+    for (int number = 0; number < 6; ++number) {
+        readers.push_back(std::make_unique<session_client>(fleet.client_port(suspended), "payouts"));
+        ASSERT_TRUE(readers.back()->run("FETCH a").starts_with("ROW i-0 "));
+    }
+    fleet.signal_daemon(suspended, SIGSTOP);
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.database(1).set_position(fixture.database(0).position());
+        fixture.list_database(0, true, true);
+    });
+    // A leader that has just started waits for longer than one poll for the primary lease of a silent daemon.
+    ASSERT_TRUE(serves(fleet, leader, "payouts", "STORE a 1", "COMPLETE sig.i-1") ||
+                serves(fleet, leader, "payouts", "STORE a 1", "COMPLETE sig.i-1"));
+    for (const auto& reader : readers) {
+        ASSERT_TRUE(reader->send("FETCH a"));
+    }
+    fleet.signal_daemon(suspended, SIGCONT);
+    for (const auto& reader : readers) {
+        const auto response = reader->read_response();
+        EXPECT_FALSE(response.starts_with("ROW i-0 ")) << response;
+    }
+}
+
 // Guards against an idle transaction that occupies a scarce database connection.
 TEST(session_daemon, RollsBackATransactionThatIsIdleTooLong) {
     session_fleet fleet{port_of_test(7)};
