Proxy: Close busy sessions and refuse late statements when stopping

Cause: only sessions that had been idle for 30 ms were closed, so a session in steady use was served until the process exited, whatever was in flight; new connections were accepted until then too.

The new tests session_daemon.LosesNoStatementOfABusySessionWhenToldToStop and .LosesNoStatementOfNewSessionsWhenToldToStop both failed on the old code with a write that had reached its database ("STORE a 24"), and pass now.

Change: while stopping, a session outside a transaction is closed after its next response; transactions are no longer begun from half the grace period on; in the last second the daemon stops listening and refuses new statements as not run; statements that begin after SIGTERM end 0.2 s before the exit at the latest. The step is an atomic that all threads read (proxy::stop_progress) in place of a task posted to each. test_proxy passes.

--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -16,6 +16,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -60,6 +61,7 @@
                     break;
                 }
                 is_continuing = co_await handle_line(*line);
+                is_continuing = is_continuing && !must_close_after_response();
             }
         }
         co_await end_transaction();
@@ -97,6 +99,13 @@
     void close() noexcept { socket_.close(); }
 
 private:
+    /// Returns whether the daemon is stopping and the session can be closed without losing a statement. The
+    /// client has just received a response, so its next statement is least likely to be under way.
+    [[nodiscard]] bool must_close_after_response() const noexcept {
+        return shared_.stop_progress_.step() >= drain_step::closing_sessions &&
+               phase_ == callers::session_phase::idle && !socket_.has_pending_input();
+    }
+
     using runner = backends::statement_runner<Protocol>;
     using response_type = backends::statement_response;
 
@@ -113,6 +122,11 @@
             co_await send(std::move(refusal));
             co_return false;
         }
+        if (shared_.stop_progress_.step() == drain_step::refusing) {
+            auto refusal = Protocol::encode_start_refused(backends::statement_status::overloaded, stopping);
+            co_await send(std::move(refusal));
+            co_return false;
+        }
         database_ = start_message->database_;
         co_await wait_for_configuration();
         if (!has_configuration()) {
@@ -163,7 +177,11 @@
     }
 
     [[nodiscard]] boost::asio::awaitable<response_type> run_statement(callers::statement statement) {
-        switch (callers::decide_step(phase_, statement->kind_)) {
+        const auto step = callers::decide_step(phase_, statement->kind_);
+        if (!transaction_ && is_refused_while_stopping(shared_.stop_progress_.step(), step)) {
+            co_return refuse_while_stopping(step);
+        }
+        switch (step) {
         case callers::session_step::store_value:
             values_.set(statement->name_, statement->argument_);
             co_return accept();
@@ -197,6 +215,21 @@
         co_return refuse(backends::statement_status::malformed, "not expected now");
     }
 
+    /// Refuses a statement because the daemon is stopping. A transaction that has not been assigned to a
+    /// database has not run, so it counts as rolled back.
+    [[nodiscard]] response_type refuse_while_stopping(callers::session_step step) {
+        if (step == callers::session_step::run_in_transaction) {
+            phase_ = callers::session_phase::failed;
+            is_transaction_abandoned_ = true;
+            return refuse(backends::statement_status::aborted, stopping);
+        }
+        if (step == callers::session_step::commit) {
+            phase_ = callers::session_phase::idle;
+            return refuse(backends::statement_status::aborted, stopping);
+        }
+        return refuse(backends::statement_status::overloaded, stopping);
+    }
+
     [[nodiscard]] response_type begin(const callers::statement_fields& statement) {
         route_ = find_route();
         if (!route_) {
@@ -256,7 +289,7 @@
     [[nodiscard]] boost::asio::awaitable<response_type>
     run_transaction_statement(Directory& directory, operators::session_route route,
                               backends::outgoing_statement statement) {
-        const auto deadline = base::clock::now() + route->timeout_;
+        const auto deadline = deadline_of(*route);
         if (!transaction_) {
             auto requirements = make_requirements(*route, transaction_effect());
             auto group = directory.group_of(route->service_);
@@ -300,7 +333,7 @@
         }
         auto ended_transaction = std::move(*transaction_);
         transaction_.reset();
-        const auto deadline = base::clock::now() + route->timeout_;
+        const auto deadline = deadline_of(*route);
         co_return co_await runner::commit(std::move(ended_transaction), std::move(outgoing), deadline);
     }
 
@@ -381,10 +414,17 @@
         }
         requirements.priority_ = route.priority_;
         requirements.objective_ = route.objective_;
-        requirements.deadline_ = base::clock::now() + route.timeout_;
+        requirements.deadline_ = deadline_of(route);
         return requirements;
     }
 
+    /// Returns when a statement that starts now has to end. While the daemon is stopping, its response must
+    /// be sent before the process exits.
+    [[nodiscard]] base::clock::time_point
+    deadline_of(const operators::session_route_fields& route) const noexcept {
+        return std::min(base::clock::now() + route.timeout_, shared_.stop_progress_.statements_end());
+    }
+
     [[nodiscard]] backends::statement_effect transaction_effect() const noexcept {
         return access_ == backends::transaction_access::read_only ? backends::statement_effect::reads
                                                                   : backends::statement_effect::writes;
@@ -491,6 +531,7 @@
         }
     }
 
+    static constexpr const char* stopping = "the daemon is stopping";
     // Below the two seconds after which clients abandon a session that has not started.
     static constexpr base::clock::duration configuration_timeout{1'700};
     static constexpr base::clock::duration configuration_poll_interval{20};
--- a/libraries/proxy/session_daemon.hpp
+++ b/libraries/proxy/session_daemon.hpp
@@ -252,12 +252,16 @@
     }
 
     /// Drains and stops the daemon. Sessions are served until the platform routes new connections elsewhere;
-    /// then idle sessions are closed. Transactions get half of the grace period.
+    /// then each is closed once it is idle or has received a response. Transactions get half of the grace
+    /// period. In the last second statements are refused, so that those in flight are answered before the
+    /// process exits.
     boost::asio::awaitable<void> stop() {
         const auto started_at = base::clock::now();
         const auto grace = control_.settings_->grace_;
         base::log_event(events::stop_started, {{"sessions", std::to_string(open_sessions())},
                                                {"grace_ms", std::to_string(grace.count())}});
+        const auto exit_at = started_at + grace - exit_margin;
+        shared_.stop_progress_.set_statements_end(exit_at - response_margin);
         while (takeovers_->is_busy() && base::clock::now() - started_at < grace / 3) {
             co_await http::sleep_for(stop_poll_interval);
         }
@@ -265,10 +269,13 @@
             peers_->announce_resignation(*token);
         }
         co_await sleep_until(started_at + std::min(load_balancer_delay, grace / 3));
-        set_drain_step(drain_step::closing_idle);
+        shared_.stop_progress_.advance_to(drain_step::closing_sessions);
         co_await wait_for_sessions(started_at + grace / 2);
-        set_drain_step(drain_step::closing_transactions);
-        co_await wait_for_sessions(started_at + grace - exit_margin);
+        shared_.stop_progress_.advance_to(drain_step::closing_transactions);
+        co_await wait_for_sessions(exit_at - refusal_duration);
+        shared_.stop_progress_.advance_to(drain_step::refusing);
+        co_await stop_accepting();
+        co_await wait_for_sessions(exit_at);
         base::log_event(events::stop_finished, {{"sessions", std::to_string(open_sessions())}});
         context_.stop();
     }
@@ -286,10 +293,11 @@
         }
     }
 
-    void set_drain_step(drain_step step) {
+    boost::asio::awaitable<void> stop_accepting() {
         for (const auto& request_worker : workers_) {
-            boost::asio::post(request_worker->context(),
-                              [worker = request_worker.get(), step] { worker->set_drain_step(step); });
+            auto work = request_worker->stop_accepting();
+            co_await boost::asio::co_spawn(request_worker->context(), std::move(work),
+                                           boost::asio::use_awaitable);
         }
     }
 
@@ -308,6 +316,10 @@
     static constexpr base::clock::duration resignation_announcement_duration{500};
     static constexpr base::clock::duration stop_poll_interval{20};
     static constexpr base::clock::duration exit_margin{400};
+    // Several times the duration of a statement that waits in no queue.
+    static constexpr base::clock::duration refusal_duration{1'000};
+    // Between the last statement's deadline and the exit.
+    static constexpr base::clock::duration response_margin{200};
 
     std::string settings_path_;
     boost::asio::io_context context_{1};
--- a/libraries/proxy/session_shared_state.hpp
+++ b/libraries/proxy/session_shared_state.hpp
@@ -5,6 +5,7 @@
 #include <operators/session_routes.hpp>
 #include <proxy/fleet_view.hpp>
 #include <proxy/session_counters.hpp>
+#include <proxy/stop_progress.hpp>
 
 #include <string>
 
@@ -18,6 +19,7 @@
     base::snapshot<operators::session_routes> routes_{operators::session_routes{}};
     base::snapshot<fleet_view> fleet_{fleet_view{}};
     backends::published_lease published_lease_;
+    stop_progress stop_progress_;
     session_counters counters_;
     std::string failure_domain_;
 };
--- a/libraries/proxy/session_worker.hpp
+++ b/libraries/proxy/session_worker.hpp
@@ -26,15 +26,6 @@
 
 namespace proxy {
 
-/// The stages of stopping a daemon.
-enum class drain_step : std::uint8_t {
-    serving,
-    /// Idle sessions outside a transaction are closed.
-    closing_idle,
-    /// Open transactions are rolled back as well.
-    closing_transactions,
-};
-
 /// The state of one request thread: its listener, its sessions, and the groups of the services that it owns.
 ///
 /// Thread safety: `context` and `collect` from any thread; `listen` and `start` before the thread runs; the
@@ -77,7 +68,11 @@
         recorder_.collect(totals);
     }
 
-    void set_drain_step(drain_step step) noexcept { drain_step_ = step; }
+    /// Stops accepting clients. All accepted clients count as open sessions afterwards.
+    [[nodiscard]] boost::asio::awaitable<void> stop_accepting() {
+        listener_->close();
+        co_return;
+    }
 
 private:
     using session = client_session<Protocol, service_directory<Protocol>>;
@@ -121,8 +116,9 @@
         for (;;) {
             const bool is_busy = table_.sweep();
             const auto now = base::clock::now();
-            if (now >= next_session_check || drain_step_ != drain_step::serving) {
-                maintain_sessions(now);
+            const auto step = shared_.stop_progress_.step();
+            if (now >= next_session_check || step != drain_step::serving) {
+                maintain_sessions(now, step);
                 recorder_.report_dropped();
                 next_session_check = now + session_check_interval;
             }
@@ -130,7 +126,7 @@
         }
     }
 
-    void maintain_sessions(base::clock::time_point now) {
+    void maintain_sessions(base::clock::time_point now, drain_step step) {
         std::size_t closed = 0;
         for (const auto& open_session : sessions_) {
             const auto since = open_session->waiting_since();
@@ -138,7 +134,7 @@
                 continue;
             }
             if (open_session->is_in_transaction()) {
-                const bool must_roll_back = drain_step_ == drain_step::closing_transactions ||
+                const bool must_roll_back = step >= drain_step::closing_transactions ||
                                             now - *since >= open_session->transaction_idle_timeout();
                 if (must_roll_back) {
                     boost::asio::co_spawn(context_, open_session->abandon_transaction(),
@@ -147,7 +143,7 @@
                 continue;
             }
             const bool is_closable = now - *since >= min_idle_before_close && open_session->is_idle();
-            if (drain_step_ != drain_step::serving && is_closable && closed < max_closed_per_check) {
+            if (step != drain_step::serving && is_closable && closed < max_closed_per_check) {
                 open_session->close();
                 ++closed;
             }
@@ -172,7 +168,6 @@
     statement_recorder recorder_;
     std::optional<http::listener> listener_;
     std::list<std::shared_ptr<session>> sessions_;
-    drain_step drain_step_ = drain_step::serving;
 };
 
 } // namespace proxy
--- a/stand_ins/session_platform/line_database.cpp
+++ b/stand_ins/session_platform/line_database.cpp
@@ -1,5 +1,7 @@
 #include <stand_ins/session_platform/line_database.hpp>
 
+#include <http/sleep.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -104,6 +106,9 @@
             socket->close();
             co_return;
         }
+        if (self->answer_delay_ > base::clock::duration{0}) {
+            co_await http::sleep_for(self->answer_delay_);
+        }
         const bool is_sent = co_await socket->write(std::move(reply));
         if (!is_sent) {
             co_return;
--- a/stand_ins/session_platform/line_database.hpp
+++ b/stand_ins/session_platform/line_database.hpp
@@ -57,6 +57,8 @@
     void follow(const line_database& leader, base::clock::time_point committed_until);
     /// Runs writes from now on without answering, and closes their connections.
     void set_losing_answers(bool is_losing) { is_losing_ = is_losing; }
+    /// Answers each message this much later from now on.
+    void set_answer_delay(base::clock::duration delay) { answer_delay_ = delay; }
     [[nodiscard]] const std::vector<seen_statement>& seen() const noexcept { return seen_; }
     [[nodiscard]] std::uint64_t position() const noexcept { return number_; }
     [[nodiscard]] bool is_primary() const noexcept { return is_primary_; }
@@ -98,6 +100,7 @@
     std::vector<logged_write> rolled_back_;
     bool is_primary_ = false;
     bool is_losing_ = false;
+    base::clock::duration answer_delay_{0};
     std::uint64_t term_ = 1;
     std::uint64_t number_ = 1;
 };
--- a/tests/proxy/session_fleet.cpp
+++ b/tests/proxy/session_fleet.cpp
@@ -8,7 +8,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -107,6 +109,12 @@
     return failure == asio::error::eof || failure == asio::error::connection_reset;
 }
 
+bool session_client::has_ended() {
+    char byte = 0;
+    const auto length = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return length == 0 || (length < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 session_fleet::session_fleet(std::uint16_t first_port)
     : guard_{asio::make_work_guard(context_)}, first_port_{first_port} {
     const auto promote = [this](const std::string& /*service*/, const std::string& id) -> unsigned {
@@ -245,6 +253,18 @@
     return static_cast<std::uint16_t>(first_port_ + daemon_offset + number * ports_of_daemon);
 }
 
+bool session_fleet::has_reached_a_database(const std::string& text) {
+    bool is_found = false;
+    run_on_stand_in_thread([&text, &is_found](session_fleet& fleet) {
+        for (const auto& database : fleet.databases_) {
+            const auto& seen = database->seen();
+            is_found = is_found || std::any_of(seen.begin(), seen.end(),
+                                               [&text](const auto& one) { return one.text_ == text; });
+        }
+    });
+    return is_found;
+}
+
 std::optional<std::size_t> session_fleet::leader() {
     std::string entry;
     run_on_stand_in_thread(
--- a/tests/proxy/session_fleet.hpp
+++ b/tests/proxy/session_fleet.hpp
@@ -34,6 +34,8 @@
     [[nodiscard]] const std::string& greeting() const noexcept { return greeting_; }
     /// Returns whether the daemon closes the connection within `response_timeout_s`.
     [[nodiscard]] bool is_closed_by_daemon();
+    /// Returns whether the connection has ended, without waiting. Precondition: no response is outstanding.
+    [[nodiscard]] bool has_ended();
 
 private:
     boost::asio::io_context context_;
@@ -76,6 +78,8 @@
     [[nodiscard]] stand_ins::line_database& database(std::size_t number) { return *databases_.at(number); }
     /// Writes the server list entry of a database.
     void list_database(std::size_t number, bool is_primary, bool is_draining);
+    /// Returns whether a statement with this text has reached any database.
+    [[nodiscard]] bool has_reached_a_database(const std::string& text);
     /// Returns the ids of the promoted databases in order.
     [[nodiscard]] const std::vector<std::string>& promotions() const noexcept { return promotions_; }
 
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -237,6 +237,53 @@
     EXPECT_EQ(fleet.wait_for_exit(daemon), 0);
 }
 
+// Guards against a shutdown that cuts off the statements of a session that is never idle: it must be closed
+// after a response (review/2).
+TEST(session_daemon, LosesNoStatementOfABusySessionWhenToldToStop) {
+    session_fleet fleet{port_of_test(14)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    session_client client{fleet.client_port(daemon), "payouts"};
+    ASSERT_TRUE(client.run("STORE a start").starts_with("COMPLETE sig."));
+    fleet.run_on_stand_in_thread(
+        [](session_fleet& fixture) { fixture.database(0).set_answer_delay(std::chrono::milliseconds{100}); });
+    fleet.signal_daemon(daemon, SIGTERM);
+    for (int number = 0; !client.has_ended(); ++number) {
+        const auto text = "STORE a " + std::to_string(number);
+        const auto response = client.run(text);
+        const bool is_answered = response.find("READY") != std::string::npos;
+        ASSERT_TRUE(is_answered || !fleet.has_reached_a_database(text)) << text;
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    EXPECT_EQ(fleet.wait_for_exit(daemon), 0);
+}
+
+// Guards against a shutdown that cuts off statements of sessions that were opened shortly before the exit
+// (KNOWN-RED 4, large site, scale-1 --seed 593510905400).
+TEST(session_daemon, LosesNoStatementOfNewSessionsWhenToldToStop) {
+    session_fleet fleet{port_of_test(15)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    fleet.run_on_stand_in_thread(
+        [](session_fleet& fixture) { fixture.database(0).set_answer_delay(std::chrono::milliseconds{100}); });
+    fleet.signal_daemon(daemon, SIGTERM);
+    bool is_listening = true;
+    for (int number = 0; is_listening; ++number) {
+        try {
+            session_client client{fleet.client_port(daemon), "payouts"};
+            const auto text = "STORE a " + std::to_string(number);
+            const auto response = client.run(text);
+            const bool is_answered = response.find("READY") != std::string::npos;
+            ASSERT_TRUE(is_answered || !fleet.has_reached_a_database(text)) << text;
+        } catch (const boost::system::system_error&) {
+            is_listening = false;
+        }
+    }
+    EXPECT_EQ(fleet.wait_for_exit(daemon), 0);
+}
+
 // Guards against statements outside transactions that are missing from the log and the latency histograms.
 TEST(session_daemon, RecordsTheLatencyOfEachStatementThatADatabaseAnswers) {
     session_fleet fleet{port_of_test(10)};
