Proxy: Replace a primary that stays unknown

Cause: the leader examined only services whose primary is known, so nobody requested a promotion.

Change: when the primary has been unknown for 3 s while this daemon leads, it replaces an unknown primary, as it already did for a damaged record. Several databases listed as primary before the first record count as unknown too. 3 s is longer than the 2 s after which entries that expired in an outage are back.

--- a/libraries/daemons/takeover_decision.cpp
+++ b/libraries/daemons/takeover_decision.cpp
@@ -11,6 +11,8 @@
 // Longer than a short suspension of a daemon, and a small part of the time for which a leaving database
 // serves.
 constexpr base::clock::duration max_planned_delay{1'500};
+// The entries of live databases that expired while the store was away are back two seconds after its return.
+constexpr base::clock::duration min_unknown_duration{3'000};
 // A database that restarts in place is listed as primary again sooner than this.
 constexpr base::clock::duration min_demotion_duration{1'000};
 
@@ -20,6 +22,9 @@
     if (condition.is_being_replaced_) {
         return takeover_decision::finish;
     }
+    if (condition.unknown_for_ && *condition.unknown_for_ >= min_unknown_duration) {
+        return takeover_decision::replace_failed;
+    }
     const bool is_planned_due = condition.draining_for_ && (condition.unheard_peers_ == 0 ||
                                                             *condition.draining_for_ >= max_planned_delay);
     if (is_planned_due) {
--- a/libraries/daemons/takeover_decision.hpp
+++ b/libraries/daemons/takeover_decision.hpp
@@ -12,6 +12,9 @@
 struct primary_condition {
     /// A takeover has begun and is not finished.
     bool is_being_replaced_ = false;
+    /// How long the service has had databases, but neither a takeover record nor a single listed primary,
+    /// while this daemon was the leader.
+    std::optional<base::clock::duration> unknown_for_;
     /// How long the primary has reported that it drains.
     std::optional<base::clock::duration> draining_for_;
     /// Number of other daemons that have sent nothing since then.
@@ -46,7 +49,8 @@
 /// Decides whether a primary is replaced: when this daemon and a second one find that it fails and no daemon
 /// reaches it. A primary that only some daemons cannot reach is kept. One that drains is replaced as soon as
 /// all daemons were heard, or after a short delay: it still serves, whereas a takeover beside a silent daemon
-/// leaves the service without a primary until that daemon's lease has expired. Thread safety: pure.
+/// leaves the service without a primary until that daemon's lease has expired. If the primary stays unknown,
+/// it counts as failed. Thread safety: pure.
 [[nodiscard]] takeover_decision decide_takeover(const primary_condition& condition) noexcept;
 
 } // namespace daemons
--- a/libraries/daemons/takeover_record.hpp
+++ b/libraries/daemons/takeover_record.hpp
@@ -28,7 +28,7 @@
 struct takeover_record_fields {
     std::string service_;
     takeover_phase phase_ = takeover_phase::settled;
-    /// The previous primary.
+    /// The previous primary; empty if it was unknown.
     std::string replaced_;
     /// The new primary; empty while `open`.
     std::string chosen_;
--- a/libraries/proxy/fleet_knowledge.cpp
+++ b/libraries/proxy/fleet_knowledge.cpp
@@ -124,15 +124,15 @@
             is_settled ? backends::primary_state::usable : backends::primary_state::being_replaced;
         return backends::service_view{std::move(view)};
     }
-    std::size_t primaries = 0;
-    for (const auto& listing : view.databases_) {
-        if (listing->role_ == backends::listed_role::primary) {
-            view.primary_ = listing->id_;
-            ++primaries;
-        }
-    }
     // Only the leader changes a primary, so at most one database is the primary before the first record.
-    view.primary_state_ = primaries == 1 ? backends::primary_state::usable : backends::primary_state::unknown;
+    const auto is_primary = [](const auto& listing) {
+        return listing->role_ == backends::listed_role::primary;
+    };
+    const auto primary = std::find_if(view.databases_.begin(), view.databases_.end(), is_primary);
+    if (std::count_if(view.databases_.begin(), view.databases_.end(), is_primary) == 1) {
+        view.primary_ = (*primary)->id_;
+        view.primary_state_ = backends::primary_state::usable;
+    }
     return backends::service_view{std::move(view)};
 }
 
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -81,6 +81,7 @@
     /// One replacement of a primary.
     struct takeover {
         std::string service_;
+        /// Empty if the primary is unknown.
         std::string replaced_;
         takeover_reason reason_ = takeover_reason::failed;
         daemons::takeover_claim claim_;
@@ -169,6 +170,7 @@
                                                           base::clock::time_point now) {
         daemons::primary_condition condition;
         condition.is_being_replaced_ = view.primary_state_ == backends::primary_state::being_replaced;
+        condition.unknown_for_ = unknown_duration(service, view, now);
         if (view.primary_.empty()) {
             return condition;
         }
@@ -205,6 +207,19 @@
         return condition;
     }
 
+    /// Returns for how long this daemon, as the leader, has known databases of a service but not its primary.
+    std::optional<base::clock::duration> unknown_duration(const std::string& service,
+                                                          const backends::service_view_fields& view,
+                                                          base::clock::time_point now) {
+        const bool is_unknown =
+            view.primary_state_ == backends::primary_state::unknown && !view.databases_.empty();
+        if (!is_unknown || !control_.leadership_) {
+            unknown_since_.erase(service);
+            return std::nullopt;
+        }
+        return now - unknown_since_.try_emplace(service, now).first->second;
+    }
+
     void track_draining(const std::string& service, const backends::database_listing& primary,
                         base::clock::time_point now) {
         if (primary->state_ != backends::listed_state::draining) {
@@ -709,6 +724,8 @@
     std::map<std::string, base::clock::time_point> demoted_at_;
     /// By service.
     std::map<std::string, draining_primary> draining_;
+    /// Since when the primary of a service has been unknown.
+    std::map<std::string, base::clock::time_point> unknown_since_;
     /// Last log position of each replaced primary that reported one, by service.
     std::map<std::string, base::log_position> final_positions_;
     /// When a marked registration was first seen, by its revision.
--- a/tests/daemons/test_lease.cpp
+++ b/tests/daemons/test_lease.cpp
@@ -165,6 +165,16 @@
     EXPECT_EQ(daemons::decide_takeover(condition), takeover_decision::replace_planned);
 }
 
+// Guards against a service that never gets a primary because none is listed and none was recorded, and
+// against replacing a primary whose entry is about to come back (review/4).
+TEST(decide_takeover, ReplacesAPrimaryThatStaysUnknown) {
+    daemons::primary_condition condition;
+    condition.unknown_for_ = base::clock::duration{2'900};
+    EXPECT_EQ(daemons::decide_takeover(condition), takeover_decision::nothing);
+    condition.unknown_for_ = base::clock::duration{3'000};
+    EXPECT_EQ(daemons::decide_takeover(condition), takeover_decision::replace_failed);
+}
+
 // Guards against waiting for silent daemons while the draining primary has already failed.
 TEST(decide_takeover, ReplacesADrainingPrimaryThatFailsAtOnce) {
     auto condition = failing(150);
--- a/tests/proxy/test_fleet_knowledge.cpp
+++ b/tests/proxy/test_fleet_knowledge.cpp
@@ -50,6 +50,7 @@
     auto knowledge = make_knowledge();
     knowledge.update_database(listing("i-2", backends::listed_role::primary));
     EXPECT_EQ(knowledge.view_of("svc", 16)->primary_state_, backends::primary_state::unknown);
+    EXPECT_EQ(knowledge.view_of("svc", 16)->primary_, "");
 }
 
 // Guards against using a replaced primary because its entry in the server list still shows the primary role.
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -151,6 +151,23 @@
     });
 }
 
+// Guards against a service that never gets a primary again: its only primary was lost before the daemons
+// started, and no takeover was ever recorded (review/4).
+TEST(session_daemon, PromotesADatabaseWhenNoPrimaryIsListed) {
+    session_fleet fleet{port_of_test(16)};
+    fleet.publish_all();
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.database(0).crash();
+        fixture.store().remove("servers/i-0");
+        fixture.database(2).set_position(5);
+    });
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 1", "COMPLETE sig.i-2"));
+    fleet.run_on_stand_in_thread(
+        [](session_fleet& fixture) { EXPECT_EQ(fixture.promotions(), std::vector<std::string>{"i-2"}); });
+}
+
 // Guards against a primary that is not replaced before its database leaves.
 TEST(session_daemon, MovesTheLeadAwayFromADrainingPrimary) {
     session_fleet fleet{port_of_test(6)};
