Proxy: Give up watches of the store whose responses are lost

Cause: a watch that a silent store has received is never answered. The daemon waited for it until its time limit, 15.7 s, while all its other calls worked again, and was deaf to the server list meanwhile. All daemons were at once.

Change: the candidates for the leadership, five at most, watch for 2.5 s at once. Daemons state in their messages the last changes that they have received from the store, and one whose watch has owed a reported change for 0.7 s gives it up and reads anew, the configuration as well as the server list. A report that a read of the store does not confirm is discarded.

--- a/libraries/daemons/fleet_message.hpp
+++ b/libraries/daemons/fleet_message.hpp
@@ -47,6 +47,14 @@
 
 using observed_primary = base::immutable<observed_primary_fields>;
 
+/// The revisions of the last changes of a part of the store that a daemon has received; 0 for none.
+struct received_revisions {
+    std::uint64_t databases_ = 0;
+    std::uint64_t configuration_ = 0;
+
+    friend auto operator<=>(const received_revisions&, const received_revisions&) = default;
+};
+
 struct fleet_message_fields {
     fleet_message_kind kind_ = fleet_message_kind::request;
     /// Matches a response to its request.
@@ -77,6 +85,9 @@
     /// Services for which the sender has begun a takeover that is not finished.
     std::vector<std::string> active_takeovers_;
     std::vector<observed_primary> primaries_;
+    /// What the sender has received from the store. Shows a receiver that is behind that the response to its
+    /// watch was lost.
+    received_revisions received_;
 
     friend auto operator<=>(const fleet_message_fields&, const fleet_message_fields&) = default;
     friend bool operator==(const fleet_message_fields&, const fleet_message_fields&) = default;
--- a/libraries/daemons/message_codec.cpp
+++ b/libraries/daemons/message_codec.cpp
@@ -82,7 +82,8 @@
             fields.known_run_, fields.possible_leaders_.candidates_digest_,
             fields.possible_leaders_.leader_revision_, fields.registered_daemons_, fields.leader_,
             fields.leader_revision_, fields.records_, fields.records_digest_, fields.grace_,
-            fields.active_takeovers_, fields.primaries_);
+            fields.active_takeovers_, fields.primaries_, fields.received_.databases_,
+            fields.received_.configuration_);
 }
 
 template <typename Archive>
--- a/libraries/platform/fleet_store.hpp
+++ b/libraries/platform/fleet_store.hpp
@@ -14,7 +14,7 @@
 namespace platform {
 
 /// Requires a client of the platform's store with the calls that session daemons use. One object runs one
-/// call at a time.
+/// call at a time. `interrupt` ends a pending call, which then fails like one without a response.
 ///
 /// Reads are linearizable. Errors of each call: `overloaded` (refused and not applied),
 /// `platform_unavailable` (not sent, or a read without a response), `answer_lost` (a change that was sent and
@@ -29,6 +29,8 @@
     { store.change(change) } -> std::same_as<boost::asio::awaitable<base::result<transaction_result>>>;
     { store.grant_lease(length) } -> std::same_as<boost::asio::awaitable<base::result<std::uint64_t>>>;
     { store.keep_lease(number) } -> std::same_as<boost::asio::awaitable<base::result<bool>>>;
+    { store.interrupt() }
+    noexcept->std::same_as<void>;
 };
 
 } // namespace platform
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -12,6 +12,7 @@
 #include <proxy/fleet_knowledge.hpp>
 #include <proxy/group_table.hpp>
 #include <proxy/ignored_entries.hpp>
+#include <proxy/pending_watch.hpp>
 #include <proxy/session_shared_state.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -97,6 +98,12 @@
         return true;
     }
 
+    /// Records what a peer has received from the store.
+    void note_report(const daemons::received_revisions& received, base::clock::time_point now) {
+        reported_databases_ = reported_databases_.after_report(received.databases_, now);
+        reported_configuration_ = reported_configuration_.after_report(received.configuration_, now);
+    }
+
     /// Probes whether the primary of a service answers this daemon.
     void probe_primary(const std::string& service) {
         auto& thread_groups = groups_.table_for(service);
@@ -179,6 +186,11 @@
     /// Since when this daemon has continuously been a candidate for the leadership, as reads of the store
     /// show.
     std::optional<base::clock::time_point> candidate_since_;
+    /// The revisions of the last changes that this daemon has received from the store, and the newest ones
+    /// that peers have reported.
+    daemons::received_revisions received_;
+    reported_change reported_databases_;
+    reported_change reported_configuration_;
     bool has_databases_ = false;
     bool is_draining_ = false;
 
--- a/libraries/proxy/events.hpp
+++ b/libraries/proxy/events.hpp
@@ -97,6 +97,9 @@
 inline constexpr base::event_definition task_failed{
     149, "task_failed", severity::error,
     "An internal task ended with an unexpected error; a periodic task starts again."};
+inline constexpr base::event_definition watch_interrupted{
+    150, "watch_interrupted", severity::warning,
+    "A watch of the platform's store was given up: a peer has received a change that it owes."};
 
 /// All definitions above, which a test compares with `docs/events.md`.
 inline constexpr std::array all{&daemon_started,
@@ -132,6 +135,7 @@
                                 &store_call_works,
                                 &registration_changed,
                                 &store_entry_ignored,
-                                &task_failed};
+                                &task_failed,
+                                &watch_interrupted};
 
 } // namespace proxy::events
--- a/libraries/proxy/peer_exchange.hpp
+++ b/libraries/proxy/peer_exchange.hpp
@@ -280,6 +280,7 @@
         message.number_ = ++last_number_;
         message.sender_ = control_.address_;
         message.run_ = control_.run_;
+        message.received_ = control_.received_;
         return message;
     }
 
@@ -312,6 +313,7 @@
     void handle(daemons::fleet_message message) {
         const auto now = base::clock::now();
         last_message_at_.insert_or_assign(message->sender_, now);
+        control_.note_report(message->received_, now);
         for (const auto& record : message->records_) {
             control_.adopt(record);
         }
--- a/libraries/proxy/session_daemon.hpp
+++ b/libraries/proxy/session_daemon.hpp
@@ -151,6 +151,7 @@
     void start_control_tasks() {
         run_periodically("configuration", [this] { return watchers_.follow_configuration(); });
         run_periodically("databases", [this] { return watchers_.follow_databases(); });
+        run_periodically("overdue watches", [this] { return watchers_.interrupt_overdue_watches(); });
         run_periodically("fleet poll", [this] { return poll_.poll(); });
         run_periodically("leadership renewal", [this] { return poll_.renew_leadership(); });
         run_periodically("peer messages", [this] { return peers_->receive(); });
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -6,11 +6,14 @@
 #include <platform/store_item.hpp>
 #include <proxy/change_batching.hpp>
 #include <proxy/control_context.hpp>
+#include <proxy/pending_watch.hpp>
 #include <proxy/retry_delay.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -18,22 +21,27 @@
 namespace proxy {
 
 /// Keeps the configuration and the server list up to date: reads them, watches them for changes, and reads
-/// them again whenever a watch fails and may have missed a change. Thread safety: control thread.
+/// them again whenever a watch fails and may have missed a change.
+///
+/// A store that is silent for a moment never responds to the watches that it received meanwhile, although it
+/// serves other calls. So the candidates for the leadership watch for a short time at once, and every daemon
+/// gives up a watch that owes a change which a peer has received. The load on the store does not grow with
+/// the fleet. Thread safety: control thread.
 template <typename Platform>
 class store_watchers {
 public:
     using entries = typename Platform::entries;
 
     explicit store_watchers(control_context<Platform>& control)
-        : control_{control}, configuration_store_{control.settings_->store_address_, call_timeout},
-          database_store_{control.settings_->store_address_, call_timeout} {}
+        : control_{control}, configuration_{{control.settings_->store_address_, call_timeout}, {}},
+          databases_{{control.settings_->store_address_, call_timeout}, {}} {}
 
     /// Follows the operators' configuration until the process ends.
     [[nodiscard]] boost::asio::awaitable<void> follow_configuration() {
         retry_delay delay{"configuration", control_.store_recovered_, retry_limits};
         for (;;) {
             std::string key{entries::configuration_key};
-            auto item = co_await configuration_store_.get(std::move(key));
+            auto item = co_await configuration_.store_.get(std::move(key));
             if (!item && item.last_reason().kind() != base::error_kind::not_found) {
                 co_await delay.wait_after_failure(item.last_reason());
                 continue;
@@ -43,6 +51,8 @@
             if (item) {
                 // The history may no longer reach back to the last change of the key.
                 revision = item->read_at_;
+                note_received(control_.received_.configuration_, item->revision_);
+                control_.reported_configuration_ = control_.reported_configuration_.after_read(revision);
                 apply_configuration(item->value_);
             } else {
                 co_await http::sleep_for(first_configuration_poll_interval);
@@ -64,6 +74,7 @@
                 continue;
             }
             delay.record_success();
+            control_.reported_databases_ = control_.reported_databases_.after_read(*start_revision);
             control_.knowledge_.set_databases(listings, base::clock::now());
             control_.has_databases_ = true;
             control_.publish();
@@ -72,16 +83,60 @@
         }
     }
 
+    /// Gives up watches whose response is lost, until the process ends.
+    [[nodiscard]] boost::asio::awaitable<void> interrupt_overdue_watches() {
+        for (;;) {
+            co_await http::sleep_for(overdue_check_interval);
+            interrupt_if_overdue(configuration_, control_.reported_configuration_, "configuration");
+            interrupt_if_overdue(databases_, control_.reported_databases_, "databases");
+        }
+    }
+
 private:
+    using watch_result = base::result<platform::store_changes>;
+
+    /// The client that follows one part of the store, and its watch without a response, if there is one.
+    struct follower {
+        typename Platform::store store_;
+        std::optional<pending_watch> pending_;
+    };
+
+    boost::asio::awaitable<watch_result> watch(follower& part, std::string prefix, std::uint64_t revision) {
+        // Before its first read of the fleet's keys, a daemon does not know whether it is a candidate.
+        const bool may_become_leader =
+            control_.candidate_since_ || control_.leadership_ || !control_.registered_at_;
+        const auto wait = may_become_leader ? candidate_watch_timeout : watch_timeout;
+        part.pending_ = pending_watch{revision, base::clock::now()};
+        auto changes = co_await part.store_.watch(std::move(prefix), revision, wait);
+        part.pending_.reset();
+        co_return changes;
+    }
+
+    void interrupt_if_overdue(follower& part, const reported_change& change, const char* watched) {
+        if (part.pending_ && is_overdue(*part.pending_, change, base::clock::now())) {
+            base::log_event(events::watch_interrupted,
+                            {{"watched", watched},
+                             {"after", std::to_string(part.pending_->after_revision_)},
+                             {"reported", std::to_string(change.revision())}});
+            part.pending_.reset();
+            part.store_.interrupt();
+        }
+    }
+
+    static void note_received(std::uint64_t& received, std::uint64_t revision) {
+        received = std::max(received, revision);
+    }
+
     boost::asio::awaitable<void> watch_configuration(std::uint64_t revision) {
         for (;;) {
             std::string key{entries::configuration_key};
-            auto changes = co_await configuration_store_.watch(std::move(key), revision, watch_timeout);
+            auto changes = co_await watch(configuration_, std::move(key), revision);
             if (!changes) {
                 co_return;
             }
             revision = std::max(revision, changes->at_);
             for (const auto& event : changes->events_) {
+                note_received(control_.received_.configuration_, event.revision_);
                 if (event.value_) {
                     apply_configuration(*event.value_);
                 }
@@ -112,7 +167,7 @@
         std::uint64_t start_revision = 0;
         for (;;) {
             std::string prefix{entries::databases_prefix};
-            auto page = co_await database_store_.list(std::move(prefix), last_key);
+            auto page = co_await databases_.store_.list(std::move(prefix), last_key);
             if (!page) {
                 co_return page.last_reason();
             }
@@ -121,6 +176,7 @@
             start_revision = start_revision == 0 ? page->at_ : start_revision;
             const auto now = base::clock::now();
             for (const auto& item : page->items_) {
+                note_received(control_.received_.databases_, item.revision_);
                 auto database = entries::read_database(item.key_, item.value_);
                 if (database) {
                     listings.push_back(std::move(*database));
@@ -140,7 +196,7 @@
         change_batching batching;
         for (;;) {
             std::string prefix{entries::databases_prefix};
-            auto changes = co_await database_store_.watch(std::move(prefix), revision, watch_timeout);
+            auto changes = co_await watch(databases_, std::move(prefix), revision);
             if (!changes) {
                 co_return;
             }
@@ -157,6 +213,7 @@
     /// cannot be used, counts as absent.
     void apply(const platform::store_changes& changes, base::clock::time_point now) {
         for (const auto& event : changes.events_) {
+            note_received(control_.received_.databases_, event.revision_);
             if (!event.value_) {
                 mark_vanished(event.key_, now);
                 continue;
@@ -198,17 +255,19 @@
     // The store answers within milliseconds, so a call that takes this long is considered lost.
     static constexpr base::clock::duration call_timeout{700};
     // Long, because every call to the store has a cost, a watch without changes too. A dead connection is
-    // detected by its keep-alive probes within three seconds.
-    // TCP keep-alive detects a connection that has gone silent. The wait is shorter than the time for which
+    // detected by its keep-alive probes within three seconds. The wait is shorter than the time for which
     // the store keeps its history; otherwise the next watch would find that its start is gone.
     static constexpr base::clock::duration watch_timeout{15'000};
+    // With a lost call, well below the time for which a leaving database is still used.
+    static constexpr base::clock::duration candidate_watch_timeout{2'500};
+    static constexpr base::clock::duration overdue_check_interval{200};
     // Prevents a busy loop against a store that refuses watches but answers reads.
     static constexpr base::clock::duration delay_after_watch{120};
     static constexpr base::clock::duration first_configuration_poll_interval{250};
 
     control_context<Platform>& control_;
-    typename Platform::store configuration_store_;
-    typename Platform::store database_store_;
+    follower configuration_;
+    follower databases_;
 };
 
 } // namespace proxy
--- a/stand_ins/session_platform/store_server.cpp
+++ b/stand_ins/session_platform/store_server.cpp
@@ -25,6 +25,8 @@
 constexpr unsigned status_condition_failed = 412;
 constexpr unsigned status_unavailable = 503;
 constexpr std::size_t most_connections = 200;
+// Longer than any test takes.
+constexpr base::clock::duration swallowed_call_duration{600'000};
 // Longer than callers wait for an answer.
 constexpr base::clock::duration lost_response_delay{3'000};
 
@@ -67,6 +69,8 @@
     std::map<std::uint64_t, granted_lease> leases_;
     std::uint64_t forgotten_revision_ = 0;
     bool is_refusing_ = false;
+    bool is_silent_ = false;
+    std::uint64_t swallowed_watches_ = 0;
     bool has_ending_leases_ = false;
     bool is_losing_answers_ = false;
     promotion on_promotion_;
@@ -238,6 +242,14 @@
     state_->is_refusing_ = is_refusing;
 }
 
+void store_server::set_silent(bool is_silent) {
+    state_->is_silent_ = is_silent;
+}
+
+std::uint64_t store_server::swallowed_watches() const {
+    return state_->swallowed_watches_;
+}
+
 void store_server::set_ending_leases(bool is_ending) {
     state_->has_ending_leases_ = is_ending;
 }
@@ -271,6 +283,11 @@
         co_return answer(status_not_found, {});
     }
     const std::string path{target->encoded_path()};
+    if (held->is_silent_) {
+        held->swallowed_watches_ += path == "/kv-watch" ? 1 : 0;
+        co_await http::sleep_for(swallowed_call_duration);
+        co_return answer(status_unavailable, {});
+    }
     if (path == "/kv-key") {
         co_return held->get(parameter(*target, "key"));
     }
--- a/stand_ins/session_platform/store_server.hpp
+++ b/stand_ins/session_platform/store_server.hpp
@@ -34,6 +34,10 @@
     [[nodiscard]] std::string value_of(const std::string& key) const;
     /// Refuses every call with 503 from now on, or no longer.
     void set_refusing(bool is_refusing);
+    /// Never responds to the calls that arrive from now on, or responds to new calls again.
+    void set_silent(bool is_silent);
+    /// Returns the number of watches that arrived while the store was silent.
+    [[nodiscard]] std::uint64_t swallowed_watches() const;
     /// Ends leases that are not renewed from now on.
     void set_ending_leases(bool is_ending);
     /// Makes changes from now on without answering them, or no longer.
--- a/tests/daemons/test_lease.cpp
+++ b/tests/daemons/test_lease.cpp
@@ -234,6 +234,7 @@
     fields.records_digest_ = daemons::digest_of(fields.records_);
     fields.grace_ = ms(400);
     fields.active_takeovers_ = {"svc"};
+    fields.received_ = {81, 64};
     fields.primaries_ = {daemons::observed_primary{
         daemons::observed_primary_fields{"svc", "i-1", daemons::primary_observation::fails}}};
     return daemons::fleet_message{fields};
--- /dev/null
+++ b/tests/proxy/test_pending_watch.cpp
@@ -0,0 +1,48 @@
+#include <proxy/pending_watch.hpp>
+
+#include <gtest/gtest.h>
+
+#include <cstdint>
+
+namespace {
+
+base::clock::time_point at(std::int64_t milliseconds) {
+    return base::clock::time_point{base::clock::duration{milliseconds}};
+}
+
+// Guards against a watch without a response that hides changes from one daemon until its time limit, while
+// its peers have received them (review/3).
+TEST(pending_watch, IsOverdueOnceItOwesAReportedChange) {
+    const proxy::pending_watch watch{50, at(1'000)};
+    const auto change = proxy::reported_change{}.after_report(51, at(2'000));
+    EXPECT_FALSE(proxy::is_overdue(watch, change, at(2'699)));
+    EXPECT_TRUE(proxy::is_overdue(watch, change, at(2'700)));
+}
+
+TEST(pending_watch, IsNotOverdueWithoutALaterChange) {
+    const proxy::pending_watch watch{50, at(1'000)};
+    EXPECT_FALSE(proxy::is_overdue(watch, {}, at(20'000)));
+    EXPECT_FALSE(proxy::is_overdue(watch, proxy::reported_change{}.after_report(50, at(0)), at(20'000)));
+}
+
+// Guards against a new watch that is given up at once because of a report that is older than the watch.
+TEST(pending_watch, HasTimeToDeliverAChangeThatWasReportedBeforeItWasSent) {
+    const auto change = proxy::reported_change{}.after_report(51, at(0));
+    EXPECT_FALSE(proxy::is_overdue({50, at(5'000)}, change, at(5'600)));
+}
+
+TEST(reported_change, KeepsTheNewestReport) {
+    const auto first = proxy::reported_change{}.after_report(51, at(10));
+    EXPECT_EQ(first.after_report(51, at(20)), first);
+    EXPECT_EQ(first.after_report(40, at(20)), first);
+    EXPECT_EQ(first.after_report(52, at(20)).reported_at(), at(20));
+}
+
+// Guards against watches that are given up again and again because of a report that is wrong.
+TEST(reported_change, DiscardsAReportThatAReadDoesNotConfirm) {
+    const auto change = proxy::reported_change{}.after_report(99, at(0));
+    EXPECT_EQ(change.after_read(98), proxy::reported_change{});
+    EXPECT_EQ(change.after_read(99), change);
+}
+
+} // namespace
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -217,6 +217,36 @@
     }
 }
 
+// Guards against a daemon that no longer follows the server list after the store was silent for two seconds:
+// its watch is never answered, while all other calls work again (review/3).
+TEST(session_daemon, FollowsTheServerListAfterTheStoreSwallowedAWatch) {
+    session_fleet fleet{port_of_test(17)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    ASSERT_TRUE(serves(fleet, daemon, "payouts", "STORE a 1", "COMPLETE sig.i-0"));
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.list_database(1, false, false);
+        fixture.list_database(2, false, false);
+    });
+    // The daemon has received these changes and waits before it watches on.
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) { fixture.store().set_silent(true); });
+    ASSERT_TRUE(eventually([&fleet] {
+        std::uint64_t swallowed = 0;
+        fleet.run_on_stand_in_thread(
+            [&swallowed](session_fleet& fixture) { swallowed = fixture.store().swallowed_watches(); });
+        return swallowed > 0;
+    }));
+    std::this_thread::sleep_for(std::chrono::milliseconds{1'500});
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.store().set_silent(false);
+        fixture.database(1).set_position(fixture.database(0).position());
+        fixture.list_database(0, true, true);
+    });
+    EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 2", "COMPLETE sig.i-1"));
+}
+
 // Guards against an idle transaction that occupies a scarce database connection.
 TEST(session_daemon, RollsBackATransactionThatIsIdleTooLong) {
     session_fleet fleet{port_of_test(7)};
