Proxy: Ask a primary that is listed as a replica for its role

Cause: an entry in the server list that shows the role `replica` for one second counted as a demotion, although the database or the leader may only have lost contact with the store.

The new test session_daemon.KeepsAPrimaryThatLeadsAndIsListedAsReplica failed on the old code with two promotions ("i-2", "i-1") and passes now.

Change: the leader asks such a primary for its role, and keeps it if it leads in the term of the last takeover or a later one. A database that does not answer, or has lost the lead, is replaced as before. test_daemons and test_proxy pass.

--- a/libraries/daemons/takeover_decision.cpp
+++ b/libraries/daemons/takeover_decision.cpp
@@ -31,7 +31,7 @@
         return takeover_decision::replace_planned;
     }
     if (condition.demoted_for_ && *condition.demoted_for_ >= min_demotion_duration) {
-        return takeover_decision::replace_failed;
+        return takeover_decision::replace_demoted;
     }
     if (!condition.failing_for_ || *condition.failing_for_ < min_failure_duration) {
         return condition.failing_for_ || condition.unlisted_for_ ? takeover_decision::ask_peers
--- a/libraries/daemons/takeover_decision.hpp
+++ b/libraries/daemons/takeover_decision.hpp
@@ -42,6 +42,8 @@
     ask_peers,
     replace_planned,
     replace_failed,
+    /// Replace a primary that is listed as a replica, unless it reports that it still leads.
+    replace_demoted,
     /// Finish a takeover that an earlier leader began.
     finish,
 };
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -70,7 +70,7 @@
     using protocol = typename Platform::protocol;
     using connection = backends::statement_connection<protocol>;
 
-    enum class takeover_reason : std::uint8_t { planned, failed, unfinished };
+    enum class takeover_reason : std::uint8_t { planned, failed, demoted, unfinished };
 
     /// A primary that is listed as draining, and when this daemon first saw that.
     struct draining_primary {
@@ -158,6 +158,8 @@
         switch (decision) {
         case daemons::takeover_decision::replace_planned:
             return takeover_reason::planned;
+        case daemons::takeover_decision::replace_demoted:
+            return takeover_reason::demoted;
         case daemons::takeover_decision::finish:
             return takeover_reason::unfinished;
         default:
@@ -266,6 +268,14 @@
 
     /// Replaces a primary, from the open record to the promotion. Each step is logged.
     boost::asio::awaitable<void> replace_primary(takeover current) {
+        if (current.reason_ == takeover_reason::demoted) {
+            const bool is_leading = co_await still_leads(current);
+            if (is_leading) {
+                // Its entry is out of date: the database or this daemon has lost contact with the store.
+                demoted_at_.insert_or_assign(current.service_, base::clock::now());
+                co_return;
+            }
+        }
         base::log_event(events::takeover_begun, {{"service", current.service_},
                                                  {"primary", current.replaced_},
                                                  {"reason", reason_name(current.reason_)}});
@@ -278,12 +288,29 @@
         }
     }
 
+    /// Returns whether a primary that is listed as a replica reports that it leads, in the term in which the
+    /// last takeover settled on it or a later one.
+    boost::asio::awaitable<bool> still_leads(const takeover& current) {
+        const auto listing = control_.knowledge_.find_database(current.replaced_);
+        const auto record = control_.knowledge_.record_of(current.service_);
+        if (!listing || !record) {
+            co_return false;
+        }
+        auto status_request = protocol::status();
+        const auto report = co_await send_request(*listing, std::move(status_request));
+        const auto settled_term = (*record)->primary_term_;
+        co_return report && report->role_ == backends::listed_role::primary &&
+            (settled_term == daemons::unknown_term || report->term_ >= settled_term);
+    }
+
     static const char* reason_name(takeover_reason reason) {
         switch (reason) {
         case takeover_reason::planned:
             return "draining";
         case takeover_reason::failed:
             return "failed";
+        case takeover_reason::demoted:
+            return "demoted";
         case takeover_reason::unfinished:
             return "unfinished";
         }
@@ -418,7 +445,9 @@
                 break;
             }
         }
-        if (!has_stepped_down && current.reason_ != takeover_reason::failed) {
+        const bool may_still_lead =
+            current.reason_ == takeover_reason::planned || current.reason_ == takeover_reason::unfinished;
+        if (!has_stepped_down && may_still_lead) {
             co_await step_down(current);
         }
         co_return true;
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -247,6 +247,30 @@
     EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 2", "COMPLETE sig.i-1"));
 }
 
+// Guards against replacing a primary that serves because its entry in the server list is out of date
+// (review/5).
+TEST(session_daemon, KeepsAPrimaryThatLeadsAndIsListedAsReplica) {
+    session_fleet fleet{port_of_test(18)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    ASSERT_TRUE(serves(fleet, daemon, "payouts", "STORE a 1", "COMPLETE sig.i-0"));
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.database(2).set_position(5);
+        fixture.database(0).crash();
+    });
+    ASSERT_TRUE(serves(fleet, daemon, "payouts", "STORE a 2", "COMPLETE sig.i-2"));
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) { fixture.list_database(2, false, false); });
+    std::this_thread::sleep_for(std::chrono::seconds{3});
+    EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 3", "COMPLETE sig.i-2"));
+    // It has lost the lead, so it has to be replaced.
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        EXPECT_EQ(fixture.promotions(), std::vector<std::string>{"i-2"});
+        fixture.database(2).set_primary(false, 2);
+    });
+    EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 4", "COMPLETE sig."));
+}
+
 // Guards against an idle transaction that occupies a scarce database connection.
 TEST(session_daemon, RollsBackATransactionThatIsIdleTooLong) {
     session_fleet fleet{port_of_test(7)};
