--- a/libraries/platform/fleet_store.hpp
+++ b/libraries/platform/fleet_store.hpp
@@ -29,8 +29,7 @@
     { store.change(change) } -> std::same_as<boost::asio::awaitable<base::result<transaction_result>>>;
     { store.grant_lease(length) } -> std::same_as<boost::asio::awaitable<base::result<std::uint64_t>>>;
     { store.keep_lease(number) } -> std::same_as<boost::asio::awaitable<base::result<bool>>>;
-    { store.interrupt() }
-    noexcept->std::same_as<void>;
+    { store.interrupt() } -> std::same_as<void>;
 };
 
 } // namespace platform
