Backends: Wait for status responses and not for a time in a test of leaving primaries

It slept for two poll intervals and then looked at the view. When the test's process does not run for as long, its sleep ends before the status response is processed: stopped with SIGSTOP for 0.6 s, 0.55, 0.65 or 0.75 s after its start, it failed in three of three runs with the same values.

The test now waits until the monitor has requested a second status after the database began to leave, so that it has processed the first one, and then requires the same: another primary of a later term. It is as strict, and no longer asserts wall time.

--- a/tests/backends/test_group_monitor.cpp
+++ b/tests/backends/test_group_monitor.cpp
@@ -29,6 +29,8 @@
     /// Connections up to this number get no response in time.
     std::size_t last_silent_connection_ = 0;
     std::size_t last_connection_ = 0;
+    /// Number of status responses that reported the database as leaving.
+    std::size_t leaving_responses_ = 0;
 };
 
 class test_group;
@@ -110,6 +112,7 @@
         replicate(index);
         return {{"status", "done"}, {"position", to_json(state.last())}, {"results", {"ok"}}};
     }
+    self.leaving_responses_ += state.is_leaving_ ? 1 : 0;
     return {{"database", self.name_},
             {"term", state.term_},
             {"last", to_json(state.last())},
@@ -296,9 +299,15 @@
 TEST(group_monitor, moves_the_role_away_from_a_leaving_primary) {
     run_with_group([](running_group& group) -> asio::awaitable<void> {
         const auto primary = co_await group.find_primary();
-        group.databases_.databases_[running_group::index_of(primary)].state_.is_leaving_ = true;
-        // The next status response, at most one poll interval later, takes the primary out of use.
-        co_await http::sleep_for(2 * poll_interval);
+        auto& leaving = group.databases_.databases_[running_group::index_of(primary)];
+        leaving.state_.is_leaving_ = true;
+        // The first status response takes the primary out of use. The monitor has processed it when it
+        // requests the next one.
+        const auto end = clock::now() + test_timeout;
+        while (leaving.leaving_responses_ < 2 && clock::now() < end) {
+            co_await http::sleep_for(clock::duration{5});
+        }
+        EXPECT_GE(leaving.leaving_responses_, 2U);
         const auto next = co_await group.find_primary();
         EXPECT_NE(next.database_, primary.database_);
         EXPECT_GT(next.term_, primary.term_);
