--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -204,7 +204,7 @@
         fixture.database(1).set_position(fixture.database(0).position());
         fixture.list_database(0, true, true);
     });
-    // A leader that has just started waits for longer than one poll for the primary lease of a silent daemon.
+    // A leader that has just started waits for the lease of a silent daemon for longer than `serves` does.
     ASSERT_TRUE(serves(fleet, leader, "payouts", "STORE a 1", "COMPLETE sig.i-1") ||
                 serves(fleet, leader, "payouts", "STORE a 1", "COMPLETE sig.i-1"));
     for (const auto& reader : readers) {
