Backends: Log under which name a statement is prepared on which connection

Each preparation that is sent is logged as E367 with service, database, number of the connection, effect, name, the first 64 bytes of the shape and the id of the statement it is for. At most 100 lines a second and request thread; E133 counts the rest in `prepared`, and sassafrasdeal_statements_prepared_total counts all.

--- a/libraries/backends/database_protocol.hpp
+++ b/libraries/backends/database_protocol.hpp
@@ -28,6 +28,7 @@
     { Protocol::reset() } -> std::same_as<std::string>;
     { Protocol::set_value(text, text) } -> std::same_as<std::string>;
     { Protocol::prepare(prepared) } -> std::same_as<std::string>;
+    { Protocol::prepared_name(prepared) } -> std::same_as<std::string>;
     { Protocol::execute_text(prepared, text) } -> std::same_as<std::string>;
     { Protocol::status() } -> std::same_as<std::string>;
     { Protocol::step_down(term) } -> std::same_as<std::string>;
--- a/libraries/backends/load_events.hpp
+++ b/libraries/backends/load_events.hpp
@@ -26,9 +26,13 @@
 inline constexpr base::event_definition database_condition_changed{
     366, "database_condition_changed", base::severity::info,
     "A database stopped accepting connections from this daemon, or accepts them again."};
+inline constexpr base::event_definition statement_prepared{
+    367, "statement_prepared", base::severity::info,
+    "A statement was sent to be prepared on a database connection; its name at the database is given."};
 
 /// All definitions above, for the test that compares them with the catalogue.
 inline constexpr std::array all{&hold_back_started, &hold_back_ended,  &connect_failed,
-                                &connect_recovered, &statement_waited, &database_condition_changed};
+                                &connect_recovered, &statement_waited, &database_condition_changed,
+                                &statement_prepared};
 
 } // namespace backends::load_events
--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -4,6 +4,7 @@
 #include <backends/database_member.hpp>
 #include <backends/load_events.hpp>
 #include <backends/position_history.hpp>
+#include <backends/preparation_log.hpp>
 #include <backends/primary_health.hpp>
 #include <backends/published_lease.hpp>
 #include <backends/service_view.hpp>
@@ -61,10 +62,11 @@
     using member_pointer = std::shared_ptr<member>;
     using grant = connection_grant<Protocol>;
 
+    /// Lifetime: `lease` and `preparations` outlive the group.
     service_group(boost::asio::any_io_executor executor, std::string failure_domain,
-                  const published_lease& lease)
-        : executor_{std::move(executor)}, failure_domain_{std::move(failure_domain)}, published_lease_{
-                                                                                          lease} {}
+                  const published_lease& lease, preparation_log& preparations)
+        : executor_{std::move(executor)}, failure_domain_{std::move(failure_domain)}, published_lease_{lease},
+          preparations_{preparations} {}
 
     /// Applies a new view of the service. Closes the connections of databases that were restarted or removed.
     void apply(const service_view& view) {
@@ -156,6 +158,15 @@
         }
     }
 
+    /// Records that a statement is sent to be prepared on a connection under `name`, for the execution by the
+    /// statement with this id.
+    void note_preparation(const statement_connection<Protocol>& connection,
+                          const base::prepared_statement& prepared, const std::string& name,
+                          const std::string& statement_id) {
+        preparations_.record({view_->service_, connection.database(), connection.number(), prepared.effect_,
+                              prepared.text_, name, statement_id});
+    }
+
     /// Counts a further statement as in flight on a granted connection, until `end_statement`.
     void begin_statement(const grant& granted) { granted.member_->begin_statement(base::clock::now()); }
     void end_statement(const grant& granted) {
@@ -528,6 +539,7 @@
     boost::asio::any_io_executor executor_;
     std::string failure_domain_;
     const published_lease& published_lease_;
+    preparation_log& preparations_;
     service_view view_;
     std::map<std::string, member_pointer> members_;
     position_history positions_;
--- a/libraries/backends/statement_connection.hpp
+++ b/libraries/backends/statement_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <backends/connection_content.hpp>
+#include <backends/connection_number.hpp>
 #include <backends/database_listing.hpp>
 #include <backends/database_protocol.hpp>
 #include <backends/statement_response.hpp>
@@ -114,6 +115,8 @@
     /// Returns whether the last statement was cancelled because its deadline had passed.
     [[nodiscard]] bool has_timed_out() const noexcept { return has_timed_out_; }
     [[nodiscard]] const std::string& database() const noexcept { return database_; }
+    /// Returns a number that identifies the connection in the log of this process.
+    [[nodiscard]] std::uint64_t number() const noexcept { return number_; }
     /// Returns the log position of the database at the time the connection was opened.
     [[nodiscard]] const std::optional<base::log_position>& first_position() const noexcept {
         return position_;
@@ -168,6 +171,7 @@
 
     http::line_socket socket_;
     std::string database_;
+    std::uint64_t number_ = next_connection_number();
     connection_content content_;
     std::optional<base::log_position> position_;
     base::clock::time_point idle_since_{};
--- a/libraries/backends/statement_runner.hpp
+++ b/libraries/backends/statement_runner.hpp
@@ -103,7 +103,8 @@
             if (!granted.is_granted()) {
                 co_return traced(statement_status::overloaded, granted.refusal_, trace);
             }
-            auto begin_response = co_await begin(granted, access, statement, requirements.deadline_, session);
+            auto begin_response =
+                co_await begin(*group, granted, access, statement, requirements.deadline_, session);
             if (begin_response.status_ == statement_status::done &&
                 begin_response.state_ == transaction_state::open) {
                 transaction started{group, granted, false};
@@ -188,7 +189,7 @@
         if (!granted.is_granted()) {
             co_return make_response(statement_status::overloaded, granted.refusal_, transaction_state::none);
         }
-        const auto begin_response = co_await begin(granted, access, statement, deadline, session);
+        const auto begin_response = co_await begin(*group, granted, access, statement, deadline, session);
         group->end_statement(granted);
         if (begin_response.status_ != statement_status::done ||
             begin_response.state_ != transaction_state::open) {
@@ -236,6 +237,19 @@
         return trace;
     }
 
+    /// Returns the name of a statement that is prepared on a connection.
+    static std::string name_at_database(const base::prepared_statement& prepared) {
+        return Protocol::prepared_name(prepared);
+    }
+
+    static void note_change(service_group<Protocol>& group, const statement_connection<Protocol>& connection,
+                            const content_change& change, const outgoing_statement& statement) {
+        if (change.prepare_) {
+            group.note_preparation(connection, *change.prepare_, name_at_database(*change.prepare_),
+                                   statement.id_);
+        }
+    }
+
     static statement_response traced(statement_status status, std::string detail, statement_trace trace) {
         auto response = make_response(status, std::move(detail), transaction_state::none);
         response.trace_ = std::move(trace);
@@ -286,9 +300,11 @@
     /// Applies the session's values to the connection. On failure, closes the connection and returns a
     /// response whose status guarantees that the statement has not run.
     [[nodiscard]] static boost::asio::awaitable<std::optional<statement_response>>
-    prepare_connection(statement_connection<Protocol>& connection, const outgoing_statement& statement,
-                       base::clock::time_point deadline, const session_settings& session) {
+    prepare_connection(service_group<Protocol>& group, statement_connection<Protocol>& connection,
+                       const outgoing_statement& statement, base::clock::time_point deadline,
+                       const session_settings& session) {
         auto change = connection.content().change_for(session, statement.prepared_);
+        note_change(group, connection, change, statement);
         auto batch = encode_change(change);
         const auto response = co_await send_batch(connection, std::move(batch), std::move(change), deadline);
         if (response.status_ == statement_status::done) {
@@ -303,7 +319,7 @@
     run_granted(service_group<Protocol>& group, const grant& granted, const outgoing_statement& statement,
                 base::clock::time_point deadline, const session_settings& session) {
         auto& connection = *granted.connection_;
-        auto failure = co_await prepare_connection(connection, statement, deadline, session);
+        auto failure = co_await prepare_connection(group, connection, statement, deadline, session);
         if (failure) {
             co_return std::move(*failure);
         }
@@ -327,10 +343,12 @@
 
     /// Sends the session's values and the begin in one batch.
     [[nodiscard]] static boost::asio::awaitable<statement_response>
-    begin(const grant& granted, transaction_access access, const outgoing_statement& statement,
-          base::clock::time_point deadline, const session_settings& session) {
+    begin(service_group<Protocol>& group, const grant& granted, transaction_access access,
+          const outgoing_statement& statement, base::clock::time_point deadline,
+          const session_settings& session) {
         auto& connection = *granted.connection_;
         auto change = connection.content().change_for(session, statement.prepared_);
+        note_change(group, connection, change, statement);
         auto batch = encode_change(change);
         batch.add(Protocol::begin(access, granted.required_position_));
         const auto count_before = batch.count_ - 1;
@@ -351,7 +369,7 @@
         if (count_state == statement_count_state::uncounted) {
             group.begin_statement(granted);
         }
-        auto failure = co_await prepare_connection(connection, statement, deadline, session);
+        auto failure = co_await prepare_connection(group, connection, statement, deadline, session);
         statement_response response;
         if (failure) {
             response = std::move(*failure);
--- a/libraries/proxy/group_table.hpp
+++ b/libraries/proxy/group_table.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <backends/preparation_log.hpp>
 #include <backends/primary_health.hpp>
 #include <backends/service_group.hpp>
 #include <proxy/session_shared_state.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,7 +26,8 @@
     using group = backends::service_group<Protocol>;
 
     group_table(boost::asio::any_io_executor executor, session_shared_state& shared)
-        : executor_{std::move(executor)}, shared_{shared} {}
+        : executor_{std::move(executor)}, shared_{shared}, preparations_{
+                                                               shared.counters_.statements_prepared_} {}
 
     [[nodiscard]] const boost::asio::any_io_executor& executor() const noexcept { return executor_; }
 
@@ -32,7 +35,8 @@
     [[nodiscard]] std::shared_ptr<group> find_or_create(const std::string& service) {
         auto& found = groups_[service];
         if (!found) {
-            found = std::make_shared<group>(executor_, shared_.failure_domain_, shared_.published_lease_);
+            found = std::make_shared<group>(executor_, shared_.failure_domain_, shared_.published_lease_,
+                                            preparations_);
             apply_view(service, *found);
         }
         return found;
@@ -65,6 +69,12 @@
         return reports;
     }
 
+    /// Returns how many lines about prepared statements were dropped since the last call, and resets the
+    /// number.
+    [[nodiscard]] std::uint64_t take_dropped_preparations() noexcept {
+        return preparations_.take_dropped_count();
+    }
+
 private:
     void apply_view(const std::string& service, group& one) {
         const auto view = shared_.fleet_.read([&service](const fleet_view& fleet) {
@@ -78,6 +88,7 @@
 
     boost::asio::any_io_executor executor_;
     session_shared_state& shared_;
+    backends::preparation_log preparations_;
     std::map<std::string, std::shared_ptr<group>> groups_;
 };
 
--- a/libraries/proxy/session_counters.hpp
+++ b/libraries/proxy/session_counters.hpp
@@ -14,6 +14,8 @@
     std::atomic<std::uint64_t> statements_refused_{0};
     std::atomic<std::uint64_t> statements_failed_{0};
     std::atomic<std::uint64_t> statements_unknown_{0};
+    /// Statements that were sent to be prepared on a database connection.
+    std::atomic<std::uint64_t> statements_prepared_{0};
     std::atomic<std::uint64_t> transactions_aborted_{0};
     /// Changes of entries in the platform's store that cannot be used.
     std::atomic<std::uint64_t> store_entries_ignored_{0};
--- a/libraries/proxy/session_metrics.cpp
+++ b/libraries/proxy/session_metrics.cpp
@@ -37,6 +37,8 @@
                   value_of(counters.statements_failed_));
     append_metric(text, "sassafrasdeal_statements_unknown_total", "counter",
                   value_of(counters.statements_unknown_));
+    append_metric(text, "sassafrasdeal_statements_prepared_total", "counter",
+                  value_of(counters.statements_prepared_));
     // Counts the transactions that the daemon rolled back.
     append_metric(text, "sassafrasdeal_transactions_given_up_total", "counter",
                   value_of(counters.transactions_aborted_));
--- a/libraries/proxy/session_worker.hpp
+++ b/libraries/proxy/session_worker.hpp
@@ -119,7 +119,7 @@
             const auto step = shared_.stop_progress_.step();
             if (now >= next_session_check || step != drain_step::serving) {
                 maintain_sessions(now, step);
-                recorder_.report_dropped();
+                recorder_.report_dropped(table_.take_dropped_preparations());
                 next_session_check = now + session_check_interval;
             }
             co_await http::sleep_for(is_busy ? busy_interval : idle_interval);
--- a/libraries/proxy/statement_recorder.cpp
+++ b/libraries/proxy/statement_recorder.cpp
@@ -30,12 +30,13 @@
         .allows(base::clock::now());
 }
 
-void statement_recorder::report_dropped() {
+void statement_recorder::report_dropped(std::uint64_t prepared) {
     const auto done = done_limiter_.take_dropped_count();
     const auto not_done = not_done_limiter_.take_dropped_count();
-    if (done + not_done > 0) {
-        base::log_event(events::lines_dropped,
-                        {{"done", std::to_string(done)}, {"not_done", std::to_string(not_done)}});
+    if (done + not_done + prepared > 0) {
+        base::log_event(events::lines_dropped, {{"done", std::to_string(done)},
+                                                {"not_done", std::to_string(not_done)},
+                                                {"prepared", std::to_string(prepared)}});
     }
 }
 
--- a/libraries/proxy/statement_recorder.hpp
+++ b/libraries/proxy/statement_recorder.hpp
@@ -7,6 +7,7 @@
 #include <base/metric_key.hpp>
 #include <base/metric_registry.hpp>
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -24,8 +25,9 @@
     /// separate limit, so that the lines of successful ones do not displace theirs.
     [[nodiscard]] bool may_log(backends::statement_status status);
 
-    /// Logs how many lines were dropped since the last call, if any were.
-    void report_dropped();
+    /// Logs how many lines were dropped since the last call, if any were. `prepared` is the number of dropped
+    /// lines about statements that this thread prepared at databases.
+    void report_dropped(std::uint64_t prepared);
 
     /// Adds the current histograms to `totals`.
     void collect(std::map<base::metric_key, base::latency_buckets>& totals) const {
