Proxy: Give connection and names of prepared statements in the lines of statements

E130 and E132 did not say which connection carried a statement, or what was sent for an EXECUTE. They have `connection`, `prepared` (the client's name) and `sent_as` (the name at the database).

--- a/libraries/backends/statement_response.hpp
+++ b/libraries/backends/statement_response.hpp
@@ -64,6 +64,11 @@
 struct statement_trace {
     /// The database that was tried last; empty if the last attempt was not granted a connection.
     std::string database_;
+    /// The number of the connection that was tried last; 0 if none was granted.
+    std::uint64_t connection_ = 0;
+    /// The name under which a prepared statement was executed at the database; empty for other statements
+    /// and if the statement was not sent.
+    std::string prepared_name_;
     /// The log position that a replica was required to have reached.
     std::optional<base::log_position> required_position_;
     std::uint32_t attempts_ = 0;
--- a/libraries/backends/statement_runner.hpp
+++ b/libraries/backends/statement_runner.hpp
@@ -61,7 +61,8 @@
             if (!granted.is_granted()) {
                 co_return traced(statement_status::overloaded, granted.refusal_, trace);
             }
-            auto response = co_await run_granted(*group, granted, statement, requirements.deadline_, session);
+            auto response =
+                co_await run_granted(*group, granted, statement, requirements.deadline_, session, trace);
             finish_single(*group, granted, response);
             response.trace_ = trace;
             if (response.status_ == statement_status::done) {
@@ -113,6 +114,7 @@
                 if (started.grant_.connection_) {
                     opened = std::move(started);
                 }
+                trace.prepared_name_ = std::move(response.trace_.prepared_name_);
                 response.trace_ = trace;
                 co_return response;
             }
@@ -227,12 +229,15 @@
         trace.waited_ += granted.waited_;
         trace.required_position_ = granted.required_position_;
         trace.database_ = granted.is_granted() ? granted.connection_->database() : std::string{};
+        trace.connection_ = granted.is_granted() ? granted.connection_->number() : 0;
+        trace.prepared_name_.clear();
     }
 
     /// Returns the trace of a statement inside a transaction, which runs where the transaction was begun.
     static statement_trace pinned_trace(const statement_connection<Protocol>& connection) {
         statement_trace trace;
         trace.database_ = connection.database();
+        trace.connection_ = connection.number();
         trace.attempts_ = 1;
         return trace;
     }
@@ -242,6 +247,12 @@
         return Protocol::prepared_name(prepared);
     }
 
+    static void note_sent(statement_trace& trace, const outgoing_statement& statement) {
+        if (statement.prepared_) {
+            trace.prepared_name_ = name_at_database(*statement.prepared_);
+        }
+    }
+
     static void note_change(service_group<Protocol>& group, const statement_connection<Protocol>& connection,
                             const content_change& change, const outgoing_statement& statement) {
         if (change.prepare_) {
@@ -317,7 +328,7 @@
 
     [[nodiscard]] static boost::asio::awaitable<statement_response>
     run_granted(service_group<Protocol>& group, const grant& granted, const outgoing_statement& statement,
-                base::clock::time_point deadline, const session_settings& session) {
+                base::clock::time_point deadline, const session_settings& session, statement_trace& trace) {
         auto& connection = *granted.connection_;
         auto failure = co_await prepare_connection(group, connection, statement, deadline, session);
         if (failure) {
@@ -326,6 +337,7 @@
         const auto sent_at = base::clock::now();
         const auto required_position =
             statement.effect_ == statement_effect::reads ? granted.required_position_ : std::nullopt;
+        note_sent(trace, statement);
         auto line = Protocol::statement(statement.id_, statement.text_, required_position);
         auto response = co_await connection.run(std::move(line), 1, deadline);
         group.note_response(granted, response, sent_at);
@@ -370,17 +382,19 @@
             group.begin_statement(granted);
         }
         auto failure = co_await prepare_connection(group, connection, statement, deadline, session);
+        auto trace = pinned_trace(connection);
         statement_response response;
         if (failure) {
             response = std::move(*failure);
         } else {
             const auto sent_at = base::clock::now();
+            note_sent(trace, statement);
             auto line = Protocol::statement(statement.id_, statement.text_, std::nullopt);
             response = co_await connection.run(std::move(line), 1, deadline);
             group.note_response(granted, response, sent_at);
         }
         group.end_statement(granted);
-        response.trace_ = pinned_trace(connection);
+        response.trace_ = std::move(trace);
         if (response.status_ == statement_status::done && response.state_ == transaction_state::open) {
             current.has_written_ = current.has_written_ || statement.effect_ == statement_effect::writes;
             co_return response;
--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -487,6 +488,7 @@
             return;
         }
         const auto& trace = response.trace_;
+        const bool is_execute = statement.kind_ == callers::statement_kind::execute;
         std::string needed{"-"};
         if (trace.required_position_) {
             needed = std::to_string(trace.required_position_->term()) + "." +
@@ -494,19 +496,24 @@
         }
         const auto version = shared_.routes_.read([](const auto& routes) { return routes->version_; });
         const auto lease_left = shared_.published_lease_.expiry() - base::clock::now();
-        base::log_event(is_done ? events::statement_done : events::statement_not_done,
-                        {{"id", statement.id_},
-                         {"database", database_},
-                         {"service", route_ ? (*route_)->service_ : "-"},
-                         {"status", std::string{backends::name_of(response.status_)}},
-                         {"at", trace.database_.empty() ? "-" : trace.database_},
-                         {"needed", needed},
-                         {"attempts", std::to_string(trace.attempts_)},
-                         {"waited_ms", std::to_string(trace.waited_.count())},
-                         {"took_ms", std::to_string(elapsed.count())},
-                         {"configuration", std::to_string(version)},
-                         {"evidence_left_ms", std::to_string(lease_left.count())},
-                         {"detail", is_done ? std::string{"-"} : response.detail_}});
+        base::log_event(
+            is_done ? events::statement_done : events::statement_not_done,
+            {{"id", statement.id_},
+             {"database", database_},
+             {"service", route_ ? (*route_)->service_ : "-"},
+             {"status", std::string{backends::name_of(response.status_)}},
+             {"at", trace.database_.empty() ? "-" : trace.database_},
+             {"connection", trace.connection_ == 0 ? "-" : std::to_string(trace.connection_)},
+             {"prepared", is_execute ? statement.name_.substr(0, max_logged_name) : "-"},
+             {"sent_as",
+              trace.prepared_name_.empty() ? "-" : trace.prepared_name_.substr(0, max_logged_name)},
+             {"needed", needed},
+             {"attempts", std::to_string(trace.attempts_)},
+             {"waited_ms", std::to_string(trace.waited_.count())},
+             {"took_ms", std::to_string(elapsed.count())},
+             {"configuration", std::to_string(version)},
+             {"evidence_left_ms", std::to_string(lease_left.count())},
+             {"detail", is_done ? std::string{"-"} : response.detail_}});
     }
 
     [[nodiscard]] std::string priority_name() const {
@@ -531,6 +538,7 @@
         }
     }
 
+    static constexpr std::size_t max_logged_name = 64;
     static constexpr const char* stopping = "the daemon is stopping";
     // Below the two seconds after which clients abandon a session that has not started.
     static constexpr base::clock::duration configuration_timeout{1'700};
