Proxy: Count malformed statements

They counted as failed only, beside statements that a database failed. sassafrasdeal_statements_malformed_total counts them, those that are no statement at all included.

--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -165,6 +165,7 @@
         }
         auto* statement = std::get_if<callers::statement>(&message);
         if (statement == nullptr) {
+            shared_.counters_.statements_malformed_.fetch_add(1, std::memory_order_relaxed);
             auto response = refuse(backends::statement_status::malformed, "not a statement");
             co_await send_response(std::move(response));
             co_return false;
@@ -533,6 +534,9 @@
         case backends::statement_status::overloaded:
             counters.statements_refused_.fetch_add(1, std::memory_order_relaxed);
             return;
+        case backends::statement_status::malformed:
+            counters.statements_malformed_.fetch_add(1, std::memory_order_relaxed);
+            [[fallthrough]];
         default:
             counters.statements_failed_.fetch_add(1, std::memory_order_relaxed);
         }
--- a/libraries/proxy/session_metrics.cpp
+++ b/libraries/proxy/session_metrics.cpp
@@ -37,6 +37,8 @@
                   value_of(counters.statements_failed_));
     append_metric(text, "sassafrasdeal_statements_unknown_total", "counter",
                   value_of(counters.statements_unknown_));
+    append_metric(text, "sassafrasdeal_statements_malformed_total", "counter",
+                  value_of(counters.statements_malformed_));
     append_metric(text, "sassafrasdeal_statements_prepared_total", "counter",
                   value_of(counters.statements_prepared_));
     // Counts the transactions that the daemon rolled back.
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -98,6 +98,22 @@
     });
 }
 
+// Guards against preparations and malformed statements that operators cannot see.
+TEST(session_daemon, CountsPreparedAndMalformedStatements) {
+    session_fleet fleet{port_of_test(25)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    session_client client{fleet.client_port(daemon), "payouts"};
+    EXPECT_EQ(client.run("PREPARE s STORE q"), "COMPLETE -|READY I -");
+    EXPECT_TRUE(client.run("EXECUTE s a 1").starts_with("COMPLETE sig."));
+    EXPECT_TRUE(client.run("COMMIT").starts_with("ERROR MALFORMED"));
+    EXPECT_TRUE(client.run("PREPARE s").starts_with("ERROR MALFORMED"));
+    const auto metrics = fleet.metrics(daemon);
+    EXPECT_NE(metrics.find("sassafrasdeal_statements_prepared_total 1\n"), std::string::npos);
+    EXPECT_NE(metrics.find("sassafrasdeal_statements_malformed_total 2\n"), std::string::npos);
+}
+
 // Guards against a session that reads from a lagging replica and misses its own write.
 TEST(session_daemon, ReadsTheSessionsOwnWriteFromThePrimaryWhileReplicasAreBehind) {
     session_fleet fleet{port_of_test(2)};
--- a/tests/proxy/test_session_metrics.cpp
+++ b/tests/proxy/test_session_metrics.cpp
@@ -10,6 +10,7 @@
 TEST(session_metrics, HasCountersAndAHistogramForEachServiceAndPriority) {
     proxy::session_shared_state shared{"a"};
     shared.counters_.statements_done_.fetch_add(3);
+    shared.counters_.statements_malformed_.fetch_add(1);
     shared.counters_.statements_prepared_.fetch_add(2);
     proxy::statement_recorder recorder;
     recorder.record("svc", "priority_0", backends::statement_status::done, base::clock::duration{12});
@@ -18,6 +19,7 @@
     recorder.collect(latencies);
     const auto text = proxy::session_metrics_text(shared, latencies, base::clock::now());
     EXPECT_NE(text.find("sassafrasdeal_statements_done_total 3\n"), std::string::npos);
+    EXPECT_NE(text.find("sassafrasdeal_statements_malformed_total 1\n"), std::string::npos);
     EXPECT_NE(text.find("sassafrasdeal_statements_prepared_total 2\n"), std::string::npos);
     EXPECT_NE(text.find("sassafrasdeal_request_seconds_count"), std::string::npos);
     EXPECT_NE(text.find("priority_0"), std::string::npos);
