Proxy: List the executions whose own lines were dropped

Their ids, connections and names are collected in a buffer of 4 KiB and written as one line, E134, every 0.25 s. `unlisted` in E133 counts those beyond the buffer. The limits are unchanged.

The processor time for each was not measured.

--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -486,6 +486,9 @@
                          elapsed);
         const bool is_done = response.status_ == backends::statement_status::done;
         if (!recorder_.may_log(response.status_)) {
+            if (!response.trace_.prepared_name_.empty()) {
+                recorder_.note_unlogged_execution(statement.id_, response.trace_);
+            }
             return;
         }
         const auto& trace = response.trace_;
--- a/libraries/proxy/events.hpp
+++ b/libraries/proxy/events.hpp
@@ -70,6 +70,10 @@
 inline constexpr base::event_definition lines_dropped{
     133, "lines_dropped", severity::warning,
     "Log lines about statements were dropped by the rate limit; the counters include all statements."};
+inline constexpr base::event_definition executions_listed{
+    134, "executions_listed", severity::info,
+    "Lists the executions of prepared statements whose own lines were dropped: id, connection, name at the "
+    "database."};
 inline constexpr base::event_definition takeover_begun{140, "takeover_begun", severity::warning,
                                                        "The leader started to replace a primary."};
 inline constexpr base::event_definition takeover_step{141, "takeover_step", severity::info,
@@ -126,6 +130,7 @@
                                 &transaction_given_up,
                                 &statement_done,
                                 &lines_dropped,
+                                &executions_listed,
                                 &takeover_begun,
                                 &takeover_step,
                                 &takeover_settled,
--- a/libraries/proxy/statement_recorder.hpp
+++ b/libraries/proxy/statement_recorder.hpp
@@ -7,6 +7,7 @@
 #include <base/metric_key.hpp>
 #include <base/metric_registry.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -25,8 +26,12 @@
     /// separate limit, so that the lines of successful ones do not displace theirs.
     [[nodiscard]] bool may_log(backends::statement_status status);
 
-    /// Logs how many lines were dropped since the last call, if any were. `prepared` is the number of dropped
-    /// lines about statements that this thread prepared at databases.
+    /// Records the execution of a prepared statement whose line may not be written, for the next list of such
+    /// executions. Costs no line, so that the limits on lines need not drop it.
+    void note_unlogged_execution(const std::string& id, const backends::statement_trace& trace);
+
+    /// Logs the executions that were noted, and how many lines were dropped since the last call, if any were.
+    /// `prepared` is the number of dropped lines about statements that this thread prepared at databases.
     void report_dropped(std::uint64_t prepared);
 
     /// Adds the current histograms to `totals`.
@@ -38,10 +43,16 @@
     // Each limit bounds the cost of logging to about 0.1 % of a core, as a line takes some microseconds.
     static constexpr std::uint32_t max_done_lines_per_second = 100;
     static constexpr std::uint32_t max_not_done_lines_per_second = 200;
+    // About 150 executions for each call of `report_dropped`.
+    static constexpr std::size_t max_listed_bytes = 4096;
+    static constexpr std::size_t max_listed_field = 32;
 
     base::metric_registry metrics_;
     base::event_limiter done_limiter_{max_done_lines_per_second};
     base::event_limiter not_done_limiter_{max_not_done_lines_per_second};
+    /// Entries that end with `;`, each with the id, the number of the connection and the name.
+    std::string unlogged_executions_;
+    std::uint64_t unlisted_ = 0;
 };
 
 } // namespace proxy
