Operators: Name the preparation that a traced request executed

`sassafrasctl trace` finds requests in E134, and the last E367 of the same log, connection and name before the request.

--- a/libraries/operators/request_trace.cpp
+++ b/libraries/operators/request_trace.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <iomanip>
 #include <iterator>
+#include <optional>
 #include <sstream>
 #include <string_view>
 #include <utility>
@@ -21,6 +22,7 @@
 constexpr int service_changed = 127;
 constexpr int transaction_given_up = 131;
 constexpr int statement_done = 132;
+constexpr int executions_listed = 134;
 constexpr int takeover_begun = 140;
 constexpr int takeover_step = 141;
 constexpr int takeover_settled = 142;
@@ -29,11 +31,14 @@
 constexpr int store_call_failed = 145;
 constexpr int statement_waited = 365;
 constexpr int database_condition_changed = 366;
+constexpr int statement_prepared = 367;
 } // namespace event
 
 // A takeover lasts a second or two, and the loss of a primary lease follows its cause within 2.5 s.
 constexpr double related_seconds = 5;
 constexpr std::size_t max_related_lines = 40;
+// As in `proxy::statement_recorder`.
+constexpr std::size_t max_listed_field = 32;
 
 /// Returns a time of a log line in seconds. Only differences count, so the time zone does not matter.
 double seconds_of(const std::string& time) {
@@ -132,6 +137,17 @@
     const auto nothing_related = [](const log_line& /*line*/) {
         return false;
     };
+    if (last.event_ == event::statement_prepared) {
+        return {"A statement was prepared at a database for this request. No line tells whether the request "
+                "has run: read it back.",
+                nothing_related};
+    }
+    if (last.event_ == event::executions_listed) {
+        return {
+            "The request executed a prepared statement at a database. Its own line was left out (E133), so "
+            "its result is not known: read it back.",
+            nothing_related};
+    }
     if (last.event_ == event::statement_done) {
         return {"A database answered the last statement with '" + last.field("status") +
                     "'. If the client has no answer, it was lost between the daemon and the client.",
@@ -156,12 +172,79 @@
     });
 }
 
+/// The execution of a prepared statement, as a line of its own or an entry of a list tells it.
+struct execution {
+    std::string connection_;
+    std::string name_;
+};
+
+/// Returns the entry of a request in a list of executions, which has the form `ID CONNECTION NAME;` for each.
+std::optional<execution> find_listed(const log_line& line, const std::string& id) {
+    std::istringstream entries{line.field("executions")};
+    std::string entry;
+    while (std::getline(entries, entry, ';')) {
+        std::istringstream words{entry};
+        std::string listed_id;
+        execution found;
+        words >> listed_id >> found.connection_ >> std::ws;
+        if (listed_id == id) {
+            std::getline(words, found.name_);
+            return found;
+        }
+    }
+    return std::nullopt;
+}
+
+bool is_of_request(const log_line& line, const std::string& id) {
+    return line.field("id") == id || (line.event_ == event::executions_listed && find_listed(line, id));
+}
+
+std::optional<execution> execution_of(const log_line& line, const std::string& id) {
+    if (line.event_ == event::executions_listed) {
+        return find_listed(line, id);
+    }
+    const auto name = line.field("sent_as");
+    return name.empty() || name == "-" ? std::nullopt
+                                       : std::optional{execution{line.field("connection"), name}};
+}
+
+/// Returns whether the name in a preparation's line is that of an execution, which lists give cut.
+bool is_same_name(const std::string& name, const std::string& executed) {
+    return name == executed || (executed.size() == max_listed_field && starts_with(name, executed));
+}
+
+/// Returns the last line before `last` that tells what was prepared under the name that the request executed
+/// on its connection, or the end of `lines`.
+std::vector<log_line>::const_iterator find_preparation(const std::string& id, const log_line& last,
+                                                       const std::vector<log_line>& lines) {
+    auto found = lines.end();
+    const auto executed = execution_of(last, id);
+    if (!executed) {
+        return found;
+    }
+    for (auto line = lines.begin(); line != lines.end(); ++line) {
+        const bool is_same = line->event_ == event::statement_prepared && line->source_ == last.source_ &&
+                             line->field("connection") == executed->connection_ &&
+                             is_same_name(line->field("name"), executed->name_);
+        if (is_same && line->time_ <= last.time_ && (found == lines.end() || line->time_ >= found->time_)) {
+            found = line;
+        }
+    }
+    return found;
+}
+
+std::string describe_preparation(const log_line& line) {
+    return " It executed '" + line.field("name") + "' on connection " + line.field("connection") +
+           ", prepared there at " + line.time_ + " with the shape '" + line.field("shape") +
+           (line.field("cut") == "yes" ? "…'." : "'.");
+}
+
 } // namespace
 
 request_trace trace_request(const std::string& id, const std::vector<log_line>& lines) {
     request_trace trace;
     std::copy_if(lines.begin(), lines.end(), std::back_inserter(trace.own_lines_),
-                 [&id](const log_line& line) { return line.field("id") == id; });
+                 [&id](const log_line& line) { return is_of_request(line, id); });
     sort_by_time(trace.own_lines_);
     if (trace.own_lines_.empty()) {
         trace.conclusion_ =
@@ -179,6 +262,13 @@
                      return found.is_related_(line) &&
                             std::abs(seconds_of(line.time_) - ended_at) <= related_seconds;
                  });
+    const auto preparation = find_preparation(id, last, lines);
+    if (preparation != lines.end()) {
+        trace.conclusion_ += describe_preparation(*preparation);
+        if (preparation->field("id") != id) {
+            trace.related_lines_.push_back(*preparation);
+        }
+    }
     sort_by_time(trace.related_lines_);
     if (trace.related_lines_.size() > max_related_lines) {
         trace.related_lines_.resize(max_related_lines);
--- a/tests/operators/test_request_trace.cpp
+++ b/tests/operators/test_request_trace.cpp
@@ -94,6 +94,41 @@
     EXPECT_NE(trace.conclusion_.find("read back"), std::string::npos);
 }
 
+std::string prepared(const std::string& time, int connection, const std::string& shape) {
+    return "2026-07-18T03:04:" + time +
+           " info E367 statement_prepared connection=" + std::to_string(connection) + " name=r1 shape=\"" +
+           shape + "\" cut=no id=7a";
+}
+
+// Guards against an engineer who takes a preparation on another connection or daemon, or an outdated one, for
+// that of the request.
+TEST(trace_request, FindsWhatWasPreparedUnderTheName) {
+    const auto trace = trace_request(
+        "8a", parse({{"a", prepared("30.000", 7, "old")},
+                     {"a", prepared("30.100", 7, "q FETCH x")},
+                     {"a", prepared("30.200", 8, "other")},
+                     {"b", prepared("30.200", 7, "other")},
+                     {"a", prepared("31.100", 7, "later")},
+                     {"a", "2026-07-18T03:04:30.500 info E367 statement_prepared connection=7 name=r12 "
+                           "shape=other"},
+                     {"a", "2026-07-18T03:04:31.000 info E132 statement_done id=8a status=done connection=7 "
+                           "prepared=s3 sent_as=r1"}}));
+    EXPECT_NE(trace.conclusion_.find("with the shape 'q FETCH x'"), std::string::npos) << trace.conclusion_;
+    ASSERT_EQ(trace.related_lines_.size(), 1U);
+    EXPECT_EQ(trace.related_lines_[0].event_, 367);
+}
+
+// Guards against a request that is called lost although a list of executions names it.
+TEST(trace_request, FindsARequestThatIsOnlyListed) {
+    const auto trace = trace_request(
+        "8a", parse({{"a", prepared("30.000", 7, "q FETCH x")},
+                     {"a", "2026-07-18T03:04:31.000 info E134 executions_listed executions=\"8b 6 r4;8a 7 "
+                           "r1;\""}}));
+    EXPECT_EQ(trace.own_lines_.size(), 1U);
+    EXPECT_NE(trace.conclusion_.find("is not known"), std::string::npos);
+    EXPECT_NE(trace.conclusion_.find("with the shape 'q FETCH x'"), std::string::npos) << trace.conclusion_;
+}
+
 TEST(trace_request, TellsThatADatabaseAnswered) {
     const auto trace = trace_request(
         "8a", parse({{"a", "2026-07-18T03:04:31.000 info E132 statement_done id=8a status=done"}}));
