Backends: Name prepared statements at a database by a number of the connection

What callers saw: a database ran a statement that nobody had sent. A client had prepared a shape of several words, "q2d STORE mc", and sent "EXECUTE s1 ITEM DATA"; the database ran "EXECUTE wq2d STORE mc ITEM DATA". Reads were answered with the row of another item.

Cause: all sessions shared a prepared statement under a name made of "r" or "w" and the shape. A shape is the last field of its line and may contain blanks; a name may not, so the words of the shape were taken for the verb of PREPARE and for the item and data of EXECUTE. Two shapes that begin with the same word also replaced each other at the database.

Change: the connection assigns the name, a number that grows with each preparation, and the adapter spells it as one field. No text of a client is part of a name. The statement is encoded once its connection is known, so the session no longer composes it.

--- a/libraries/backends/connection_content.cpp
+++ b/libraries/backends/connection_content.cpp
@@ -20,7 +20,7 @@
         }
     }
     if (prepared && (change.reset_ || !prepared_.contains(*prepared))) {
-        change.prepare_ = prepared;
+        change.prepare_ = named_statement{last_name_.next(), *prepared};
     }
     return change;
 }
@@ -34,7 +34,8 @@
         values_.insert_or_assign(name, value);
     }
     if (change.prepare_) {
-        prepared_.insert(*change.prepare_);
+        last_name_ = change.prepare_->name_;
+        prepared_.emplace(change.prepare_->statement_, last_name_);
     }
 }
 
--- a/libraries/backends/database_protocol.hpp
+++ b/libraries/backends/database_protocol.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <backends/database_line.hpp>
+#include <backends/prepared_name.hpp>
 #include <base/log_position.hpp>
 #include <base/prepared_statement.hpp>
 
@@ -20,16 +21,16 @@
 template <typename Protocol>
 concept database_protocol = requires(std::string_view text, std::optional<base::log_position> position,
                                      transaction_access access, const base::prepared_statement& prepared,
-                                     std::uint64_t term) {
+                                     prepared_name name, std::uint64_t term) {
     { Protocol::start_connection(text, text) } -> std::same_as<std::string>;
     { Protocol::statement(text, text, position) } -> std::same_as<std::string>;
     { Protocol::begin(access, position) } -> std::same_as<std::string>;
     { Protocol::rollback() } -> std::same_as<std::string>;
     { Protocol::reset() } -> std::same_as<std::string>;
     { Protocol::set_value(text, text) } -> std::same_as<std::string>;
-    { Protocol::prepare(prepared) } -> std::same_as<std::string>;
-    { Protocol::prepared_name(prepared) } -> std::same_as<std::string>;
-    { Protocol::execute_text(prepared, text) } -> std::same_as<std::string>;
+    { Protocol::prepared_name(name) } -> std::same_as<std::string>;
+    { Protocol::prepare(name, prepared) } -> std::same_as<std::string>;
+    { Protocol::execute(text, name, text, position) } -> std::same_as<std::string>;
     { Protocol::status() } -> std::same_as<std::string>;
     { Protocol::step_down(term) } -> std::same_as<std::string>;
     { Protocol::decode_database(text) } -> std::same_as<database_line>;
--- a/libraries/backends/statement_runner.hpp
+++ b/libraries/backends/statement_runner.hpp
@@ -19,9 +19,12 @@
 /// A client's statement as it is sent to a database.
 struct outgoing_statement {
     std::string id_;
+    /// The complete text; empty if it executes a prepared statement.
     std::string text_;
     /// The prepared statement that it executes, if any.
     std::optional<base::prepared_statement> prepared_;
+    /// The text after the name of the prepared statement.
+    std::string argument_;
     statement_effect effect_ = statement_effect::reads;
 
     friend auto operator<=>(const outgoing_statement&, const outgoing_statement&) = default;
@@ -242,22 +245,19 @@
         return trace;
     }
 
-    /// Returns the name of a statement that is prepared on a connection.
-    static std::string name_at_database(const base::prepared_statement& prepared) {
-        return Protocol::prepared_name(prepared);
-    }
-
-    static void note_sent(statement_trace& trace, const outgoing_statement& statement) {
+    static void note_sent(statement_trace& trace, statement_connection<Protocol>& connection,
+                          const outgoing_statement& statement) {
         if (statement.prepared_) {
-            trace.prepared_name_ = name_at_database(*statement.prepared_);
+            trace.prepared_name_ =
+                Protocol::prepared_name(connection.content().name_of(*statement.prepared_));
         }
     }
 
     static void note_change(service_group<Protocol>& group, const statement_connection<Protocol>& connection,
                             const content_change& change, const outgoing_statement& statement) {
         if (change.prepare_) {
-            group.note_preparation(connection, *change.prepare_, name_at_database(*change.prepare_),
-                                   statement.id_);
+            group.note_preparation(connection, change.prepare_->statement_,
+                                   Protocol::prepared_name(change.prepare_->name_), statement.id_);
         }
     }
 
@@ -288,7 +288,7 @@
             batch.add(Protocol::set_value(name, value));
         }
         if (change.prepare_) {
-            batch.add(Protocol::prepare(*change.prepare_));
+            batch.add(Protocol::prepare(change.prepare_->name_, change.prepare_->statement_));
         }
         return batch;
     }
@@ -326,6 +326,17 @@
                                 transaction_state::none);
     }
 
+    /// Encodes a statement for a connection. Precondition: the statement that it executes is prepared there.
+    static std::string encode_statement(statement_connection<Protocol>& connection,
+                                        const outgoing_statement& statement,
+                                        std::optional<base::log_position> required_position) {
+        if (!statement.prepared_) {
+            return Protocol::statement(statement.id_, statement.text_, required_position);
+        }
+        const auto name = connection.content().name_of(*statement.prepared_);
+        return Protocol::execute(statement.id_, name, statement.argument_, required_position);
+    }
+
     [[nodiscard]] static boost::asio::awaitable<statement_response>
     run_granted(service_group<Protocol>& group, const grant& granted, const outgoing_statement& statement,
                 base::clock::time_point deadline, const session_settings& session, statement_trace& trace) {
@@ -337,8 +348,8 @@
         const auto sent_at = base::clock::now();
         const auto required_position =
             statement.effect_ == statement_effect::reads ? granted.required_position_ : std::nullopt;
-        note_sent(trace, statement);
-        auto line = Protocol::statement(statement.id_, statement.text_, required_position);
+        note_sent(trace, connection, statement);
+        auto line = encode_statement(connection, statement, required_position);
         auto response = co_await connection.run(std::move(line), 1, deadline);
         group.note_response(granted, response, sent_at);
         co_return response;
@@ -388,8 +399,8 @@
             response = std::move(*failure);
         } else {
             const auto sent_at = base::clock::now();
-            note_sent(trace, statement);
-            auto line = Protocol::statement(statement.id_, statement.text_, std::nullopt);
+            note_sent(trace, connection, statement);
+            auto line = encode_statement(connection, statement, std::nullopt);
             response = co_await connection.run(std::move(line), 1, deadline);
             group.note_response(granted, response, sent_at);
         }
--- a/libraries/callers/statement.hpp
+++ b/libraries/callers/statement.hpp
@@ -28,7 +28,7 @@
 struct statement_fields {
     /// The operation identifier that the client chose; forwarded unchanged.
     std::string id_;
-    /// The complete text; forwarded unchanged, except for the name of a prepared statement.
+    /// The complete text.
     std::string text_;
     statement_kind kind_ = statement_kind::malformed;
     /// The name of the session value or prepared statement.
--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -386,20 +386,21 @@
     make_outgoing_statement(const callers::statement_fields& statement) const {
         backends::outgoing_statement outgoing;
         outgoing.id_ = statement.id_;
-        outgoing.text_ = statement.text_;
-        outgoing.effect_ = statement.kind_ == callers::statement_kind::write
-                               ? backends::statement_effect::writes
-                               : backends::statement_effect::reads;
-        if (statement.kind_ == callers::statement_kind::execute) {
-            outgoing.prepared_ = values_.find_prepared(statement.name_);
-            if (!outgoing.prepared_) {
-                return std::nullopt;
-            }
-            outgoing.text_ = Protocol::execute_text(*outgoing.prepared_, statement.argument_);
-            outgoing.effect_ = outgoing.prepared_->effect_ == base::prepared_effect::writes
+        if (statement.kind_ != callers::statement_kind::execute) {
+            outgoing.text_ = statement.text_;
+            outgoing.effect_ = statement.kind_ == callers::statement_kind::write
                                    ? backends::statement_effect::writes
                                    : backends::statement_effect::reads;
+            return outgoing;
         }
+        outgoing.prepared_ = values_.find_prepared(statement.name_);
+        if (!outgoing.prepared_) {
+            return std::nullopt;
+        }
+        outgoing.argument_ = statement.argument_;
+        outgoing.effect_ = outgoing.prepared_->effect_ == base::prepared_effect::writes
+                               ? backends::statement_effect::writes
+                               : backends::statement_effect::reads;
         return outgoing;
     }
 
--- a/tests/adapter/test_line_protocol.cpp
+++ b/tests/adapter/test_line_protocol.cpp
@@ -89,17 +89,17 @@
               "QUERY - AFTER 3.7 BEGIN FETCH\r\n");
 }
 
-// Guards against a name collision at a database between prepared statements of two shapes, or between a read
-// and a write of the same shape.
-RC_GTEST_PROP(line_protocol, NamesPreparedStatementsByEffectAndShape,
-              (const std::string& one, const std::string& other)) {
-    const base::prepared_statement read{base::prepared_effect::reads, one};
-    const base::prepared_statement write{base::prepared_effect::writes, one};
-    RC_ASSERT(line_protocol::execute_text(read, "x") != line_protocol::execute_text(write, "x"));
-    if (one != other) {
-        RC_ASSERT(line_protocol::execute_text(read, "x") !=
-                  line_protocol::execute_text({base::prepared_effect::reads, other}, "x"));
-    }
+// Guards against a shape that a database takes for further fields of the name or of the executing statement.
+RC_GTEST_PROP(line_protocol, NamesPreparedStatementsInOneFieldWhateverTheirShape,
+              (const std::string& shape, const std::string& argument, std::uint64_t number)) {
+    const backends::prepared_name name{number};
+    const auto field = "p" + std::to_string(number);
+    RC_ASSERT(line_protocol::prepare(name, {base::prepared_effect::writes, shape}) ==
+              "QUERY - PREPARE " + field + " STORE " + shape + "\r\n");
+    RC_ASSERT(line_protocol::execute("5c", name, "1a4 " + argument, std::nullopt) ==
+              "QUERY 5c EXECUTE " + field + " 1a4 " + argument + "\r\n");
+    RC_ASSERT(line_protocol::execute("5c", name, "1a4", base::log_position{3, 7}) ==
+              "QUERY 5c AFTER 3.7 EXECUTE " + field + " 1a4\r\n");
 }
 
 TEST(line_protocol, DecodesTheLinesOfADatabase) {
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace {
@@ -104,7 +105,29 @@
     EXPECT_TRUE(content.change_for({{"a", "1"}}, prepared).empty());
     const auto change = content.change_for({}, prepared);
     EXPECT_TRUE(change.reset_);
-    EXPECT_EQ(change.prepare_, prepared);
+    ASSERT_TRUE(change.prepare_);
+    EXPECT_EQ(change.prepare_->statement_, prepared);
+}
+
+// Guards against a name collision on a connection between prepared statements of two shapes, between a read
+// and a write of the same shape, or between statements before and after a reset.
+RC_GTEST_PROP(connection_content, NeverAssignsTheNameOfAPreparedStatementTwice,
+              (const std::vector<std::tuple<bool, std::string, bool>>& statements)) {
+    backends::connection_content content;
+    std::map<backends::prepared_name, base::prepared_statement> named;
+    for (const auto& [writes, shape, has_value] : statements) {
+        const base::prepared_statement prepared{
+            writes ? base::prepared_effect::writes : base::prepared_effect::reads, shape};
+        std::map<std::string, std::string> session;
+        if (has_value) {
+            session.emplace("lang", "hr");
+        }
+        const auto change = content.change_for(session, prepared);
+        content.apply(change);
+        const auto name = content.name_of(prepared);
+        RC_ASSERT(named.contains(name) != change.prepare_.has_value());
+        RC_ASSERT(named.emplace(name, prepared).first->second == prepared);
+    }
 }
 
 // Guards against a connection whose values differ from the session's after a change was applied.
