Backends: Reset connections that hold too many prepared statements

What callers would see: with ever new shapes, the databases and the daemon keep each of them for as long as a pooled connection lives, until a process reaches its memory limit and ends. A session's DEALLOC, and its end, remove the statement from the session only, as the connection is shared.

Change: a connection that holds over 64 statements or over 64 KiB of them at the end of a use is reset before the next one. The reset goes out with the next session's values, so it costs no exchange of its own, and never falls into a transaction.

Result: connection_content.IsResetAfterAUseThatLeftTooManyPreparedStatements; with the assignment of end_use taken out the test fails: no reset in 1,000 uses.

--- a/libraries/backends/connection_content.hpp
+++ b/libraries/backends/connection_content.hpp
@@ -42,6 +42,10 @@
     /// Records that a change took effect. Precondition: it was computed for the current content.
     void apply(const content_change& change);
 
+    /// Records that a session has ended its use of the connection, outside a transaction. A connection that
+    /// holds too many prepared statements is reset before its next use.
+    void end_use() noexcept;
+
     /// Returns the name of a statement on this connection. Precondition: it is prepared there.
     [[nodiscard]] prepared_name name_of(const base::prepared_statement& prepared) const {
         return prepared_.at(prepared);
@@ -57,6 +61,8 @@
     std::map<base::prepared_statement, prepared_name> prepared_;
     /// The newest name. A name is not assigned again after a reset.
     prepared_name last_name_;
+    std::size_t prepared_bytes_ = 0;
+    bool is_reset_due_ = false;
 };
 
 } // namespace backends
--- a/libraries/backends/database_member.hpp
+++ b/libraries/backends/database_member.hpp
@@ -57,6 +57,7 @@
     void give_back(const connection_pointer& connection, base::clock::time_point now) {
         used_.erase(connection);
         if (connection->is_open()) {
+            connection->content().end_use();
             connection->set_idle_since(now);
             idle_.push_back(connection);
         }
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -130,6 +130,31 @@
     }
 }
 
+// Guards against a connection that collects the prepared statements of all its sessions, and against a reset
+// while a session uses it.
+TEST(connection_content, IsResetAfterAUseThatLeftTooManyPreparedStatements) {
+    backends::connection_content content;
+    bool is_reset = false;
+    std::size_t uses = 0;
+    while (!is_reset && uses < 1'000) {
+        const base::prepared_statement prepared{base::prepared_effect::reads, std::to_string(++uses)};
+        const auto change = content.change_for({}, prepared);
+        is_reset = change.reset_;
+        content.apply(change);
+        EXPECT_TRUE(content.change_for({}, prepared).empty());
+        content.end_use();
+    }
+    EXPECT_TRUE(is_reset);
+    const std::string long_shape(100'000, 'q');
+    const auto change =
+        content.change_for({}, base::prepared_statement{base::prepared_effect::reads, long_shape});
+    EXPECT_FALSE(change.reset_);
+    content.apply(change);
+    EXPECT_TRUE(content.change_for({}, std::nullopt).empty());
+    content.end_use();
+    EXPECT_TRUE(content.change_for({}, std::nullopt).reset_);
+}
+
 // Guards against a connection whose values differ from the session's after a change was applied.
 RC_GTEST_PROP(connection_content, HoldsExactlyTheSessionsValuesAfterEachChange,
               (const std::vector<std::map<std::string, std::string>>& sessions)) {
