--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -151,6 +151,22 @@
     });
 }
 
+// Guards against a statement that is smuggled inside another one: a database that ends lines at LF would run
+// it.
+TEST(session_daemon, ForwardsNoLineWithAnotherMessageInside) {
+    session_fleet fleet{port_of_test(24)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    for (const std::string inside : {"\n", "\r"}) {
+        session_client client{fleet.client_port(daemon), "payouts"};
+        const auto text = "STORE a 1" + inside + "QUERY 6d STORE b 2";
+        EXPECT_TRUE(client.run(text).starts_with("ERROR MALFORMED"));
+        EXPECT_TRUE(eventually([&client] { return client.has_ended(); }));
+        EXPECT_FALSE(fleet.has_reached_a_database(text));
+    }
+}
+
 // Guards against reporting a database as missing before the first configuration was read. Occurred after all
 // hosts lost power while the store was down (CONFIG on lumipaiva, scale-2 --seed 112491346172).
 TEST(session_daemon, CallsNoRouteMissingBeforeTheFirstConfiguration) {
