--- a/tests/adapter/test_line_protocol.cpp
+++ b/tests/adapter/test_line_protocol.cpp
@@ -31,6 +31,14 @@
     EXPECT_EQ(decode("QUERY 5c COMMIT now").kind_, statement_kind::malformed);
 }
 
+// Guards against a client's statement that a database cannot tell from one that the daemon issues itself.
+TEST(line_protocol, RejectsTheIdentifierOfTheDaemonsOwnStatements) {
+    for (const auto* text : {"FETCH 1a4", "STORE 1a4 x", "BEGIN", "COMMIT", "SET lang hr"}) {
+        EXPECT_EQ(decode("QUERY - " + std::string{text}).kind_, statement_kind::malformed) << text;
+    }
+    EXPECT_EQ(decode("QUERY -- FETCH 1a4").kind_, statement_kind::read);
+}
+
 // Guards against a value that is truncated at a space: the last field extends to the end of the line.
 TEST(line_protocol, KeepsSpacesInTheLastField) {
     const auto set = decode("QUERY 5c SET name a b  c");
