--- a/tests/adapter/test_line_protocol.cpp
+++ b/tests/adapter/test_line_protocol.cpp
@@ -39,6 +39,15 @@
     EXPECT_EQ(decode("QUERY -- FETCH 1a4").kind_, statement_kind::read);
 }
 
+// Guards against a statement that cannot be forwarded as it came: without its last field, a blank at its end
+// would be added or lost, and a connection on which the database refuses the value is closed.
+TEST(line_protocol, RejectsStatementsWithAMissingOrSurplusField) {
+    for (const auto* text : {"EXECUTE", "EXECUTE s1", "EXECUTE s1 ", "EXECUTE  1a4", "SET", "SET lang",
+                             "SET lang ", "DEALLOC", "DEALLOC ", "DEALLOC s1 x", "DEALLOC s1 "}) {
+        EXPECT_EQ(decode("QUERY 5c " + std::string{text}).kind_, statement_kind::malformed) << text;
+    }
+}
+
 // Guards against a value that is truncated at a space: the last field extends to the end of the line.
 TEST(line_protocol, KeepsSpacesInTheLastField) {
     const auto set = decode("QUERY 5c SET name a b  c");
