Adapter: Refuse statements that grow beyond the maximum length of a message

A client's message may have 1 MiB. For a read at a replica the daemon puts `AFTER TERM.NUMBER ` before its text, and for a prepared statement it replaces the name, so that a message near the limit became longer than the protocol allows. A database may then close the connection, and each further attempt costs another one.

Reads, PREPARE and EXECUTE that leave less than 68 bytes (the longest position and the longest number as a name) are now answered with `ERROR MALFORMED` at once. Writes are forwarded as they came and keep the whole length.

--- a/tests/adapter/test_line_protocol.cpp
+++ b/tests/adapter/test_line_protocol.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cstdint>
 #include <string>
 #include <variant>
 
@@ -82,7 +83,8 @@
 TEST(line_protocol, RejectsLinesWithATerminatorInside) {
     for (const auto terminator : {'\n', '\r', '\0'}) {
         const auto rest = std::string(1, terminator) + "QUERY 6d STORE b 2";
-        for (const auto* start : {"QUERY 5c STORE a 1", "QUERY 5c SET lang hr", "QUERY 5c", "START lepu270"}) {
+        for (const auto* start :
+             {"QUERY 5c STORE a 1", "QUERY 5c SET lang hr", "QUERY 5c", "START lepu270"}) {
             const auto message = line_protocol::decode_client(start + rest);
             EXPECT_TRUE(std::holds_alternative<callers::unreadable_message>(message)) << start;
         }
@@ -123,6 +125,26 @@
               "QUERY - AFTER 3.7 BEGIN FETCH\r\n");
 }
 
+// Guards against a message for a database that is longer than the protocol allows because the daemon put a
+// position before the client's text: the database closes the connection, and each attempt costs another one.
+TEST(line_protocol, RejectsStatementsThatGrowBeyondTheMaximumLength) {
+    const base::log_position longest{UINT64_MAX, UINT64_MAX};
+    const std::string read{"QUERY 5c FETCH "};
+    const auto added = line_protocol::statement("5c", "FETCH ", longest).size() - read.size();
+    const auto length_of_item = line_protocol::max_line_bytes - read.size() - added;
+    const auto with_item = [&read](std::size_t length) {
+        return decode(read + std::string(length, 'i'));
+    };
+    EXPECT_EQ(with_item(length_of_item + 1).kind_, statement_kind::malformed);
+    // The longest name of a prepared statement at a database is reserved for reads too.
+    const auto accepted = with_item(length_of_item - 20);
+    EXPECT_EQ(accepted.kind_, statement_kind::read);
+    EXPECT_LE(line_protocol::statement(accepted.id_, accepted.text_, longest).size(),
+              line_protocol::max_line_bytes);
+    const auto write = "QUERY 5c STORE i " + std::string(line_protocol::max_line_bytes - 19, 'd');
+    EXPECT_EQ(decode(write).kind_, statement_kind::write);
+}
+
 // Guards against a shape that a database takes for further fields of the name or of the executing statement.
 RC_GTEST_PROP(line_protocol, NamesPreparedStatementsInOneFieldWhateverTheirShape,
               (const std::string& shape, const std::string& argument, std::uint64_t number)) {
