Http: Keep to the maximum length of a line

`line_socket::read_line` compared the length of the buffer before a read only. A line whose end arrived in the same read as the bytes beyond the maximum was returned, up to 4 KiB too long, and a message of more than 1 MiB went on to a database.

The length of the line with its terminator is now compared with the maximum before it is returned.

--- a/libraries/http/line_socket.cpp
+++ b/libraries/http/line_socket.cpp
@@ -69,6 +69,9 @@
     for (;;) {
         const auto end = input_.find(line_terminator, searched);
         if (end != std::string::npos) {
+            if (end + line_terminator.size() - consumed_ > max_line_bytes) {
+                break;
+            }
             std::string line = input_.substr(consumed_, end - consumed_);
             consumed_ = end + line_terminator.size();
             if (consumed_ == input_.size()) {
@@ -82,7 +85,7 @@
         }
         input_.erase(0, consumed_);
         consumed_ = 0;
-        if (input_.size() > max_line_bytes || !shared->socket_.is_open()) {
+        if (input_.size() >= max_line_bytes || !shared->socket_.is_open()) {
             break;
         }
         // The line terminator may be split between two reads.
--- a/libraries/http/line_socket.hpp
+++ b/libraries/http/line_socket.hpp
@@ -39,7 +39,8 @@
     void set_unacknowledged_timeout(base::clock::duration timeout);
 
     /// Returns the next line without its terminator. Closes the socket and returns nothing when the
-    /// connection ended or the line is longer than `max_line_bytes`.
+    /// connection ended or the line with its terminator is longer than `max_line_bytes`. CR or LF alone is
+    /// part of the line.
     [[nodiscard]] boost::asio::awaitable<std::optional<std::string>> read_line(std::size_t max_line_bytes);
 
     /// Writes all bytes. Returns whether they were passed to the operating system.
