Adapter: Ignore databases whose id or service is not one field

The id of a database comes from a key of the store and its service from the entry's value; other writers can write both.

--- a/tests/adapter/test_store_messages.cpp
+++ b/tests/adapter/test_store_messages.cpp
@@ -4,6 +4,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <boost/json/serialize.hpp>
+#include <boost/json/string.hpp>
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -130,6 +133,20 @@
     EXPECT_FALSE(accepts("zone", "\"" + std::string(300, 'z') + "\""));
 }
 
+// Guards against a name of another writer that adds fields or a second message to the line that starts a
+// connection to a database.
+TEST(fleet_entries, IgnoresNamesThatAreNotOneField) {
+    const std::vector<std::string> odd_names{
+        "", " ", "a b", " a", "a ", "a\r\nQUERY - STORE k v", "a\nb", "a\rb", "a\tb", {"a\0b", 3}, "a\x7F"};
+    for (const auto& odd : odd_names) {
+        EXPECT_FALSE(adapter::fleet_entries::read_database("servers/" + odd, entry)) << odd;
+        const auto service = boost::json::serialize(boost::json::string{odd});
+        EXPECT_FALSE(adapter::fleet_entries::read_database("servers/i-1", entry_with("service", service)))
+            << odd;
+    }
+    EXPECT_TRUE(adapter::fleet_entries::read_database("servers/i/1%2.\xC4\x8D", entry));
+}
+
 // Guards against recursion that exhausts the stack.
 TEST(fleet_entries, IgnoresDeeplyNestedEntries) {
     for (const std::size_t depth : {10U, 32U, 1'000U, 100'000U}) {
