Base: Quote logged values with any control character

A value was quoted, and its control characters replaced, only if it contained a blank, a quote, `=`, CR, LF or a tab. An escape or NUL in an otherwise plain value, such as the id that a client chose, reached the log as it was: a terminal interprets the sequence, and tools take the log for a binary file.

All control characters now cause quoting and are replaced by a blank. A backslash alone needs no quotes: the reader of log lines interprets it in quoted values only.

Measured: log_event.KeepsEachValueInItsField failed before the change.

--- a/libraries/base/event.cpp
+++ b/libraries/base/event.cpp
@@ -4,6 +4,8 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace base {
 
 namespace {
@@ -25,8 +27,15 @@
 // spdlog allocates the whole queue at start-up, a few hundred bytes for each line.
 constexpr std::size_t queued_lines = 2048;
 
+bool is_control_character(char character) noexcept {
+    constexpr unsigned char delete_character = 0x7F;
+    const auto byte = static_cast<unsigned char>(character);
+    return byte < ' ' || byte == delete_character;
+}
+
 bool needs_quotes(std::string_view value) {
-    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+    return value.empty() || value.find_first_of(" \"=") != std::string_view::npos ||
+           std::any_of(value.begin(), value.end(), is_control_character);
 }
 
 void append_value(std::string& line, std::string_view value) {
@@ -39,8 +48,9 @@
         if (character == '"' || character == '\\') {
             line.push_back('\\');
         }
-        // A line break inside a value would allow a caller to forge a log line.
-        line.push_back(static_cast<unsigned char>(character) < ' ' ? ' ' : character);
+        // A line break inside a value would allow a caller to forge a log line, and an escape sequence would
+        // change what a terminal shows of it.
+        line.push_back(is_control_character(character) ? ' ' : character);
     }
     line.push_back('"');
 }
