Base: Limit the length of logged values

A logged value had no maximum length. The id of a client's statement may have almost 1 MiB and each refused statement is logged, so the log's queue of 2,048 lines could hold 2 GiB.

Values above 1,024 bytes are now cut and end in `...`.

Measured: log_event.ShortensLongValues failed before the change. The memory itself was not measured.

--- a/libraries/base/event.cpp
+++ b/libraries/base/event.cpp
@@ -38,6 +38,15 @@
            std::any_of(value.begin(), value.end(), is_control_character);
 }
 
+// Peers choose the text of many values; a statement's identifier may have almost 1 MiB, and the queue holds
+// thousands of lines.
+constexpr std::size_t max_value_bytes = 1024;
+
+std::string shorten(std::string_view value) {
+    std::string shortened{value.substr(0, max_value_bytes)};
+    return value.size() > max_value_bytes ? shortened.append("...") : shortened;
+}
+
 void append_value(std::string& line, std::string_view value) {
     if (!needs_quotes(value)) {
         line.append(value);
@@ -66,7 +75,7 @@
     line.append(std::to_string(definition.number_)).append(" ").append(definition.name_);
     for (const auto& field : fields) {
         line.append(" ").append(field.name_).append("=");
-        append_value(line, field.value_);
+        append_value(line, shorten(field.value_));
     }
     spdlog::log(level, "{}", line);
 }
