Callers: Find the session cookie by its whole name

The session's cookie was found by searching the whole header for `sassafrasdeal_session=`. Another cookie whose name ends in that, or whose value contains it, was read in its place; its value is no token and was ignored, so the session lost read-your-writes without an error.

The header is now split at `;` and the names are compared as a whole.

Measured: request_codec.finds_the_session_cookie_by_its_whole_name failed before the change.

--- a/libraries/callers/request_codec.cpp
+++ b/libraries/callers/request_codec.cpp
@@ -167,17 +167,22 @@
     return transaction_part{*step, *handle};
 }
 
+std::string_view trim_start(std::string_view text) {
+    const auto first = text.find_first_not_of(' ');
+    return first == std::string_view::npos ? std::string_view{} : text.substr(first);
+}
+
 std::optional<std::string_view> find_cookie(const http::request& message) {
-    const auto cookies = http::find_header(message->headers_, "Cookie");
-    if (!cookies) {
-        return std::nullopt;
-    }
-    const auto start = cookies->find(session_cookie);
-    if (start == std::string_view::npos) {
-        return std::nullopt;
+    auto cookies = http::find_header(message->headers_, "Cookie").value_or("");
+    while (!cookies.empty()) {
+        const auto end = std::min(cookies.find(';'), cookies.size());
+        const auto cookie = trim_start(cookies.substr(0, end));
+        if (cookie.starts_with(session_cookie)) {
+            return cookie.substr(session_cookie.size());
+        }
+        cookies.remove_prefix(std::min(end + 1, cookies.size()));
     }
-    const auto value = cookies->substr(start + session_cookie.size());
-    return value.substr(0, value.find(';'));
+    return std::nullopt;
 }
 
 struct session_part {
--- a/tests/callers/test_callers.cpp
+++ b/tests/callers/test_callers.cpp
@@ -87,6 +87,23 @@
     EXPECT_EQ((*request)->token_, (base::log_position{2, 9}));
 }
 
+// Guards against losing read-your-writes because another cookie, whose name or value contains the name of the
+// session's cookie, is read in its place.
+TEST(request_codec, finds_the_session_cookie_by_its_whole_name) {
+    const auto cookie = "sassafrasdeal_session=" + token_for("ledger", {2, 5});
+    for (const auto& cookies : {"old_sassafrasdeal_session=x; " + cookie,
+                                "a=sassafrasdeal_session=x;" + cookie, cookie + "; b=c"}) {
+        const auto request = callers::decode_request(post(body_with(""), {{"Cookie", cookies}}), signer);
+        ASSERT_TRUE(request);
+        EXPECT_EQ((*request)->token_, (base::log_position{2, 5})) << cookies;
+    }
+    for (const auto* cookies : {"", ";", "; ", "a=b;", "old_sassafrasdeal_session=x"}) {
+        const auto request = callers::decode_request(post(body_with(""), {{"Cookie", cookies}}), signer);
+        ASSERT_TRUE(request);
+        EXPECT_EQ((*request)->session_, base::session_state::none) << cookies;
+    }
+}
+
 // Guards against losing read-your-writes because an empty session field is not recognised as a session.
 TEST(request_codec, empty_session_is_a_session_without_token) {
     EXPECT_EQ((*callers::decode_request(post(body_with(R"(,"session":"")")), signer))->session_,
