Tests: End the waits of session clients after their timeout

`session_client::is_closed_by_daemon`, `read_response` and `session_fleet::metrics` were meant to give up after 12 s. They set SO_RCVTIMEO, but Asio's blocking reads poll without a limit when that expires, so a test of a daemon that neither answered nor closed did not end: a failing run of test_proxy stood for nine minutes until it was killed.

The waits now poll the socket with the timeout before each read.

--- a/tests/proxy/session_fleet.cpp
+++ b/tests/proxy/session_fleet.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -15,6 +14,7 @@
 #include <csignal>
 #include <fstream>
 #include <future>
+#include <poll.h>
 #include <spawn.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -49,9 +49,19 @@
     return {asio::ip::make_address("127.0.0.1"), port};
 }
 
-void set_receive_timeout(asio::ip::tcp::socket& socket) {
-    const timeval limit{response_timeout_s, 0};
-    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+/// Waits for bytes from the peer for at most `response_timeout_s` and appends them to `input`. A receive
+/// timeout of the socket is not enough: Asio waits on without a limit when it expires.
+boost::system::error_code read_available(asio::ip::tcp::socket& socket, std::string& input) {
+    constexpr int milliseconds_per_second = 1000;
+    pollfd readable{socket.native_handle(), POLLIN, 0};
+    if (::poll(&readable, 1, response_timeout_s * milliseconds_per_second) <= 0) {
+        return asio::error::timed_out;
+    }
+    std::array<char, 4096> bytes{};
+    boost::system::error_code failure;
+    const auto count = socket.read_some(asio::buffer(bytes), failure);
+    input.append(bytes.data(), count);
+    return failure;
 }
 
 } // namespace
@@ -69,7 +79,6 @@
 
 session_client::session_client(std::uint16_t port, const std::string& database) : socket_{context_} {
     socket_.connect(endpoint_of(port));
-    set_receive_timeout(socket_);
     asio::write(socket_, asio::buffer("START " + database + " someone\r\n"));
     greeting_ = read_response();
 }
@@ -88,13 +97,15 @@
 std::string session_client::read_response() {
     std::string response;
     for (;;) {
-        boost::system::error_code failure;
-        const auto length = asio::read_until(socket_, asio::dynamic_buffer(input_), "\r\n", failure);
-        if (failure) {
-            return response;
+        const auto end = input_.find("\r\n");
+        if (end == std::string::npos) {
+            if (read_available(socket_, input_)) {
+                return response;
+            }
+            continue;
         }
-        const auto line = input_.substr(0, length - 2);
-        input_.erase(0, length);
+        const auto line = input_.substr(0, end);
+        input_.erase(0, end + 2);
         response.append(response.empty() ? "" : "|").append(line);
         if (line.starts_with("READY")) {
             return response;
@@ -103,9 +114,7 @@
 }
 
 bool session_client::is_closed_by_daemon() {
-    std::array<char, 1> byte{};
-    boost::system::error_code failure;
-    socket_.read_some(asio::buffer(byte), failure);
+    const auto failure = read_available(socket_, input_);
     return failure == asio::error::eof || failure == asio::error::connection_reset;
 }
 
@@ -241,11 +250,10 @@
     asio::io_context context;
     asio::ip::tcp::socket socket{context};
     socket.connect(endpoint_of(client_port(number) + metrics_offset));
-    set_receive_timeout(socket);
     asio::write(socket, asio::buffer(std::string{"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"}));
     std::string response;
-    boost::system::error_code failure;
-    asio::read(socket, asio::dynamic_buffer(response), failure);
+    while (!read_available(socket, response)) {
+    }
     return response;
 }
 
