Proxy: Keep the list of executions within the length of a logged value

The limit of 1,024 bytes for logged values and the list of executions whose own lines were dropped (E134, up to 4 KiB) were written side by side: the list would have been cut, and its executions would have been neither listed nor counted. Both now use one constant, 2,048 bytes, and the list ends before it. 70 executions a quarter of a second are more than a daemon of the known deployments runs.

--- a/libraries/base/event.cpp
+++ b/libraries/base/event.cpp
@@ -38,13 +38,9 @@
            std::any_of(value.begin(), value.end(), is_control_character);
 }
 
-// Peers choose the text of many values; a statement's identifier may have almost 1 MiB, and the queue holds
-// thousands of lines.
-constexpr std::size_t max_value_bytes = 1024;
-
 std::string shorten(std::string_view value) {
-    std::string shortened{value.substr(0, max_value_bytes)};
-    return value.size() > max_value_bytes ? shortened.append("...") : shortened;
+    std::string shortened{value.substr(0, max_logged_value_bytes)};
+    return value.size() > max_logged_value_bytes ? shortened.append("...") : shortened;
 }
 
 void append_value(std::string& line, std::string_view value) {
--- a/libraries/base/event.hpp
+++ b/libraries/base/event.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -26,8 +27,12 @@
     std::string value_;
 };
 
+/// The length above which a logged value is cut. Peers choose the text of many values: a statement's
+/// identifier may have almost 1 MiB, and the queue of the log holds thousands of lines.
+inline constexpr std::size_t max_logged_value_bytes = 2048;
+
 /// Logs an event as one line, for example `E301 takeover_started group=ledger term=5`. Values with spaces are
-/// quoted. Thread safety: any thread.
+/// quoted, long ones are cut. Thread safety: any thread.
 void log_event(const event_definition& definition, std::initializer_list<event_field> fields);
 
 /// Sets up the process-wide logger, which writes asynchronously to standard output, one line for each event.
--- a/libraries/proxy/statement_recorder.hpp
+++ b/libraries/proxy/statement_recorder.hpp
@@ -2,6 +2,7 @@
 
 #include <backends/statement_response.hpp>
 #include <base/clock.hpp>
+#include <base/event.hpp>
 #include <base/event_limiter.hpp>
 #include <base/latency_buckets.hpp>
 #include <base/metric_key.hpp>
@@ -43,9 +44,11 @@
     // Each limit bounds the cost of logging to about 0.1 % of a core, as a line takes some microseconds.
     static constexpr std::uint32_t max_done_lines_per_second = 100;
     static constexpr std::uint32_t max_not_done_lines_per_second = 200;
-    // About 150 executions for each call of `report_dropped`.
-    static constexpr std::size_t max_listed_bytes = 4096;
     static constexpr std::size_t max_listed_field = 32;
+    // The longest entry has two fields, a number of up to 20 digits and the delimiters. The list is logged as
+    // one value, with about 70 executions for each call of `report_dropped`.
+    static constexpr std::size_t max_entry_bytes = 2 * max_listed_field + 23;
+    static constexpr std::size_t max_listed_bytes = base::max_logged_value_bytes - max_entry_bytes;
 
     base::metric_registry metrics_;
     base::event_limiter done_limiter_{max_done_lines_per_second};
--- a/tests/base/event_test.cpp
+++ b/tests/base/event_test.cpp
@@ -48,7 +48,7 @@
 
 // Guards against a log that fills the memory with texts of clients.
 TEST(log_event, ShortensLongValues) {
-    const std::string longest(1024, 'x');
+    const std::string longest(base::max_logged_value_bytes, 'x');
     EXPECT_EQ(logged_line(longest), "E1 sample id=" + longest + " at=i-1\n");
     EXPECT_EQ(logged_line(longest + "y"), "E1 sample id=" + longest + "... at=i-1\n");
     EXPECT_EQ(logged_line(longest + " \n"), "E1 sample id=" + longest + "... at=i-1\n");
