Backends: Bring the connection to the session's values before a commit

Cause: a value that a session sets is sent with its next statement, and the commit was sent without asking for changes.

Change: the commit applies them as every other statement of the transaction does. If that fails, the commit is not sent, and the client is told that the transaction was aborted.

Result: session_daemon.CommitsWithTheValuesSetInsideTheTransaction failed before (values of the COMMIT: lang=hr instead of fi).

--- a/libraries/backends/statement_runner.hpp
+++ b/libraries/backends/statement_runner.hpp
@@ -152,13 +152,22 @@
     }
 
     /// Commits a transaction with the client's own statement text and id, and releases its connection.
-    [[nodiscard]] static boost::asio::awaitable<statement_response>
-    commit(transaction current, outgoing_statement statement, base::clock::time_point deadline) {
+    [[nodiscard]] static boost::asio::awaitable<statement_response> commit(transaction current,
+                                                                           outgoing_statement statement,
+                                                                           base::clock::time_point deadline,
+                                                                           const session_settings& session) {
         auto& group = *current.group_;
         auto& connection = *current.grant_.connection_;
-        const bool was_open = connection.is_open();
-        const auto sent_at = base::clock::now();
         group.begin_statement(current.grant_);
+        // The session may have set a value since its last statement.
+        const auto failure = co_await prepare_connection(group, connection, statement, deadline, session);
+        if (failure || !connection.is_open()) {
+            group.end_statement(current.grant_);
+            group.release(current.grant_);
+            co_return traced(statement_status::aborted, "the transaction's connection was closed",
+                             pinned_trace(connection));
+        }
+        const auto sent_at = base::clock::now();
         auto line = Protocol::statement(statement.id_, statement.text_, std::nullopt);
         auto response = co_await connection.run(std::move(line), 1, deadline);
         group.note_response(current.grant_, response, sent_at);
@@ -170,10 +179,6 @@
         group.release(current.grant_);
         response.state_ = transaction_state::none;
         response.trace_ = pinned_trace(connection);
-        if (!was_open) {
-            co_return traced(statement_status::aborted, "the transaction's connection was closed",
-                             response.trace_);
-        }
         if (response.status_ == statement_status::done && !may_acknowledge) {
             co_return traced(statement_status::unknown, "the primary may have been replaced",
                              response.trace_);
@@ -204,7 +209,7 @@
                                     transaction_state::none);
         }
         transaction started{group, granted, false};
-        co_return co_await commit(std::move(started), std::move(statement), deadline);
+        co_return co_await commit(std::move(started), std::move(statement), deadline, session);
     }
 
     /// Rolls a transaction back and releases its connection.
--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -336,7 +336,8 @@
         auto ended_transaction = std::move(*transaction_);
         transaction_.reset();
         const auto deadline = deadline_of(*route);
-        co_return co_await runner::commit(std::move(ended_transaction), std::move(outgoing), deadline);
+        co_return co_await runner::commit(std::move(ended_transaction), std::move(outgoing), deadline,
+                                          values_.values());
     }
 
     [[nodiscard]] boost::asio::awaitable<response_type> end_failed(callers::statement_kind kind) {
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -73,7 +74,7 @@
 // Guards against a prepared statement whose shape is taken for further fields of the statement that executes
 // it.
 TEST(session_daemon, ExecutesPreparedStatementsWhoseShapesContainSpaces) {
-    session_fleet fleet{port_of_test(24)};
+    session_fleet fleet{port_of_test(27)};
     fleet.publish_all();
     const auto daemon = fleet.start_daemon();
     ASSERT_TRUE(fleet.becomes_ready(daemon));
@@ -114,6 +115,26 @@
     EXPECT_NE(metrics.find("sassafrasdeal_statements_malformed_total 2\n"), std::string::npos);
 }
 
+// Guards against a commit that runs with session values from before a change inside the transaction.
+TEST(session_daemon, CommitsWithTheValuesSetInsideTheTransaction) {
+    session_fleet fleet{port_of_test(26)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    session_client client{fleet.client_port(daemon), "payouts"};
+    EXPECT_EQ(client.run("SET lang hr"), "COMPLETE -|READY I -");
+    EXPECT_EQ(client.run("BEGIN"), "COMPLETE -|READY T -");
+    EXPECT_NE(client.run("STORE a 1").find("|READY T "), std::string::npos);
+    EXPECT_EQ(client.run("SET lang fi"), "COMPLETE -|READY T -");
+    EXPECT_NE(client.run("COMMIT").find("|READY I "), std::string::npos);
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        const auto& seen = fixture.database(0).seen();
+        ASSERT_FALSE(seen.empty());
+        EXPECT_EQ(seen.back().text_, "COMMIT");
+        EXPECT_EQ(seen.back().values_, (std::map<std::string, std::string>{{"lang", "fi"}}));
+    });
+}
+
 // Guards against a session that reads from a lagging replica and misses its own write.
 TEST(session_daemon, ReadsTheSessionsOwnWriteFromThePrimaryWhileReplicasAreBehind) {
     session_fleet fleet{port_of_test(2)};
