Soak: Compare what databases ran with what clients sent

Cause: the soak's clients used no prepared statements, and its databases did not record what an EXECUTE ran.

Change: clients prepare, execute and deallocate statements and set values, also inside transactions. Names collide between clients; shapes, values and data have several words, several blanks, blanks at the end and tabs. The stand-in database reads a name as one field, refuses what is not of the protocol, and records text, values, effect and shape of what it ran. New checks compare this by id with what clients sent.

--- a/stand_ins/session_platform/line_database.cpp
+++ b/stand_ins/session_platform/line_database.cpp
@@ -24,6 +24,19 @@
     return word;
 }
 
+/// Removes the first field and returns it; nothing if it is empty or has characters of white space, which a
+/// database may take for the end of the field.
+std::optional<std::string> take_name(std::string& text) {
+    auto name = take_word(text);
+    const bool is_field =
+        !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char one) { return one > ' '; });
+    return is_field ? std::optional{std::move(name)} : std::nullopt;
+}
+
+bool is_transaction_bound(const std::string& text) {
+    return text == "BEGIN" || text == "BEGIN FETCH" || text == "COMMIT" || text == "ROLLBACK";
+}
+
 } // namespace
 
 line_database::line_database(asio::any_io_executor executor, std::string service, std::string id)
@@ -138,42 +151,73 @@
         text = rest;
         verb = take_word(rest);
     }
-    const std::string done = "COMPLETE -\r\n";
-    if (verb == "SET") {
-        const auto name = take_word(rest);
-        current.values_[name] = rest;
-        return done + ready(current);
-    }
-    if (verb == "PREPARE") {
-        const auto name = take_word(rest);
-        current.prepared_[name] = rest;
-        return done + ready(current);
+    if (verb == "SET" || verb == "PREPARE" || verb == "DEALLOC" || text == "RESET") {
+        return change_session(current, id, text);
     }
-    if (verb == "RESET") {
-        current.values_.clear();
-        current.prepared_.clear();
-        return done + ready(current);
-    }
-    if (verb == "STATUS" || verb == "STEPDOWN") {
+    if (text == "STATUS" || verb == "STEPDOWN") {
         is_primary_ = is_primary_ && verb == "STATUS";
         return std::string{"ROW "} + (is_primary_ ? "primary " : "replica ") + std::to_string(term_) + " " +
-               position_text() + " 0 0 0 1\r\n" + done + ready(current);
+               position_text() + " 0 0 0 1\r\nCOMPLETE -\r\n" + ready(current);
     }
     return run(current, id, text);
 }
 
+std::string line_database::refuse(const session& current, const std::string& id, const std::string& text,
+                                  const std::string& code) {
+    refused_.push_back({id, text, code});
+    return "ERROR " + code + " " + id_ + "\r\n" + ready(current);
+}
+
+std::string line_database::change_session(session& current, const std::string& id, const std::string& text) {
+    auto rest = text;
+    const auto verb = take_word(rest);
+    const auto name = verb == "RESET" ? std::optional{std::string{}} : take_name(rest);
+    if (!name) {
+        return refuse(current, id, text, "MALFORMED");
+    }
+    if (verb == "SET") {
+        current.values_[*name] = rest;
+    } else if (verb == "PREPARE") {
+        auto shape = rest;
+        const auto effect = take_word(shape);
+        if ((effect != "FETCH" && effect != "STORE") || shape.empty()) {
+            return refuse(current, id, text, "MALFORMED");
+        }
+        current.prepared_[*name] = rest;
+    } else if (verb == "DEALLOC") {
+        if (current.prepared_.erase(*name) == 0) {
+            return refuse(current, id, text, "NOSTMT");
+        }
+    } else {
+        current.values_.clear();
+        current.prepared_.clear();
+    }
+    return "COMPLETE -\r\n" + ready(current);
+}
+
 std::string line_database::run(session& current, const std::string& id, const std::string& text) {
     auto rest = text;
     const auto verb = take_word(rest);
-    bool is_write = verb == "STORE";
-    bool is_read = verb == "FETCH";
+    std::string prepared;
     if (verb == "EXECUTE") {
-        const auto found = current.prepared_.find(take_word(rest));
+        const auto name = take_name(rest);
+        if (!name) {
+            return refuse(current, id, text, "MALFORMED");
+        }
+        const auto found = current.prepared_.find(*name);
         if (found == current.prepared_.end()) {
-            return "ERROR NOSTMT unknown\r\n" + ready(current);
+            return refuse(current, id, text, "NOSTMT");
         }
-        is_write = found->second.starts_with("STORE");
-        is_read = !is_write;
+        prepared = found->second;
+    }
+    const bool is_write = verb == "STORE" || prepared.starts_with("STORE ");
+    const bool is_read = verb == "FETCH" || prepared.starts_with("FETCH ");
+    // The item of a plain read is the last field, which extends to the end of the line.
+    const auto key = verb == "FETCH" ? std::exchange(rest, {}) : take_word(rest);
+    const bool is_complete =
+        is_write ? !key.empty() && !rest.empty() : (is_read ? !key.empty() : is_transaction_bound(text));
+    if (!is_complete) {
+        return refuse(current, id, text, "MALFORMED");
     }
     if (!is_primary_ && (is_write || text == "BEGIN")) {
         return "ERROR READONLY " + id_ + "\r\n" + ready(current);
@@ -183,14 +227,13 @@
         current.state_ = 'I';
         return "ERROR READONLY " + id_ + "\r\n" + ready(current);
     }
-    seen_.push_back({id, text, current.values_});
+    seen_.push_back({id, text, current.values_, prepared});
     if (verb == "BEGIN") {
         current.state_ = 'T';
     } else if (verb == "COMMIT" || verb == "ROLLBACK") {
         current.state_ = 'I';
     }
     const bool is_commit = verb == "COMMIT" && !current.pending_.empty();
-    const auto key = take_word(rest);
     if (verb == "ROLLBACK") {
         current.pending_.clear();
     } else if (is_write) {
--- a/stand_ins/session_platform/line_database.hpp
+++ b/stand_ins/session_platform/line_database.hpp
@@ -19,13 +19,27 @@
 /// A statement that a database ran, as a test looks at it.
 struct seen_statement {
     std::string id_;
+    /// As it was received, without the prefix `AFTER`.
     std::string text_;
     /// The values that the connection's session had set.
     std::map<std::string, std::string> values_;
+    /// Effect and shape of the prepared statement that an `EXECUTE` ran; empty for other statements.
+    std::string prepared_;
 
     friend auto operator<=>(const seen_statement&, const seen_statement&) = default;
 };
 
+/// A statement that a database refused because its text is not of the protocol or names an unknown prepared
+/// statement.
+struct refused_statement {
+    std::string id_;
+    std::string text_;
+    /// `MALFORMED` or `NOSTMT`.
+    std::string code_;
+
+    friend auto operator<=>(const refused_statement&, const refused_statement&) = default;
+};
+
 /// A write in a database's log.
 struct logged_write {
     std::uint64_t term_ = 0;
@@ -60,6 +74,7 @@
     /// Answers each message this much later from now on.
     void set_answer_delay(base::clock::duration delay) { answer_delay_ = delay; }
     [[nodiscard]] const std::vector<seen_statement>& seen() const noexcept { return seen_; }
+    [[nodiscard]] const std::vector<refused_statement>& refused() const noexcept { return refused_; }
     [[nodiscard]] std::uint64_t position() const noexcept { return number_; }
     [[nodiscard]] bool is_primary() const noexcept { return is_primary_; }
     [[nodiscard]] std::uint64_t term() const noexcept { return term_; }
@@ -72,6 +87,7 @@
     struct session {
         std::shared_ptr<http::line_socket> socket_;
         std::map<std::string, std::string> values_;
+        /// Effect and shape of each name.
         std::map<std::string, std::string> prepared_;
         /// Writes of the open transaction.
         std::vector<logged_write> pending_;
@@ -83,7 +99,10 @@
                                        std::shared_ptr<http::line_socket> socket);
     /// Returns the answer to a text; empty to close the connection without one.
     std::string answer(session& current, const std::string& id, std::string text);
+    std::string change_session(session& current, const std::string& id, const std::string& text);
     std::string run(session& current, const std::string& id, const std::string& text);
+    std::string refuse(const session& current, const std::string& id, const std::string& text,
+                       const std::string& code);
     void commit(session& current);
     /// Returns the row of a read: this database, the key, its value and the session's tag.
     [[nodiscard]] std::string row(const session& current, const std::string& key) const;
@@ -96,6 +115,7 @@
     std::shared_ptr<http::listener> listener_;
     std::vector<std::weak_ptr<http::line_socket>> sockets_;
     std::vector<seen_statement> seen_;
+    std::vector<refused_statement> refused_;
     std::vector<logged_write> log_;
     std::vector<logged_write> rolled_back_;
     bool is_primary_ = false;
--- a/tests/stand_ins/test_session_platform.cpp
+++ b/tests/stand_ins/test_session_platform.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -78,6 +79,63 @@
     EXPECT_EQ(values(database->log()), (texts{"v1", "v3"}));
 }
 
+// Guards against a stand-in that accepts a name of several fields: the incident lumipaiva-prepared-names went
+// unnoticed in all tests, because their shapes were single words.
+TEST(line_database, ReadsANameAsOneField) {
+    asio::io_context context;
+    const base::endpoint address{"127.0.0.1", 20'811};
+    const auto database = std::make_shared<stand_ins::line_database>(context.get_executor(), "svc", "i-0");
+    ASSERT_TRUE(database->listen(address));
+    database->set_primary(true, 1);
+    const texts refused{"PREPARE rq2c abc FETCH q2c abc",
+                        "PREPARE  s FETCH q",
+                        "PREPARE s\tt FETCH q",
+                        "PREPARE s FETCH",
+                        "PREPARE s",
+                        "EXECUTE s k",
+                        "EXECUTE  s k",
+                        "DEALLOC s",
+                        "SET  v",
+                        "FETCH ",
+                        "STORE k",
+                        "COMMIT now"};
+    texts all;
+    for (const auto& text : refused) {
+        all.push_back("a " + text);
+    }
+    run(context, send(address, all));
+    EXPECT_TRUE(database->seen().empty());
+    texts found;
+    for (const auto& one : database->refused()) {
+        found.push_back(one.text_);
+        const bool is_unknown_name = one.text_ == "EXECUTE s k" || one.text_ == "DEALLOC s";
+        EXPECT_EQ(one.code_, is_unknown_name ? "NOSTMT" : "MALFORMED") << one.text_;
+    }
+    EXPECT_EQ(found, refused);
+}
+
+// Guards against a stand-in that loses blanks of a last field, or what an execution ran: the soak compares
+// both.
+TEST(line_database, RecordsTextValuesAndShapeOfWhatItRan) {
+    asio::io_context context;
+    const base::endpoint address{"127.0.0.1", 20'813};
+    const auto database = std::make_shared<stand_ins::line_database>(context.get_executor(), "svc", "i-0");
+    ASSERT_TRUE(database->listen(address));
+    database->set_primary(true, 1);
+    run(context,
+        send(address, {"- SET note two  blanks ", "- PREPARE s STORE q2d STORE  mc ", "b EXECUTE s k v  1 ",
+                       "- PREPARE s FETCH q\tr", "c AFTER 1.1 EXECUTE s k", "- DEALLOC s", "d EXECUTE s k",
+                       "- PREPARE s FETCH q", "- RESET", "e EXECUTE s k", "f FETCH k"}));
+    const std::map<std::string, std::string> set{{"note", "two  blanks "}};
+    EXPECT_EQ(database->seen(),
+              (std::vector<stand_ins::seen_statement>{{"b", "EXECUTE s k v  1 ", set, "STORE q2d STORE  mc "},
+                                                      {"c", "EXECUTE s k", set, "FETCH q\tr"},
+                                                      {"f", "FETCH k", {}, {}}}));
+    EXPECT_EQ(database->refused(), (std::vector<stand_ins::refused_statement>{
+                                       {"d", "EXECUTE s k", "NOSTMT"}, {"e", "EXECUTE s k", "NOSTMT"}}));
+    EXPECT_EQ(values(database->log()), (texts{"v  1 "}));
+}
+
 // Guards against a stand-in whose replicas keep what the database that leads does not have.
 TEST(line_database, RollsBackWhatTheLeaderDoesNotHave) {
     asio::io_context context;
--- a/utilities/sassafras_soak/main.cpp
+++ b/utilities/sassafras_soak/main.cpp
@@ -22,7 +22,6 @@
 constexpr int exit_invalid = 2;
 constexpr std::uint64_t most_daemons = 10;
 constexpr std::uint64_t most_services = 4;
-constexpr std::size_t most_lines = 20;
 
 std::uint64_t draw_seed() {
     std::random_device random;
@@ -50,8 +49,8 @@
     const auto broken = soak.play(std::cout);
     std::cout << soak.history().writes_.size() << " writes, " << soak.history().reads_.size() << " reads, "
               << broken.size() << " promises broken\n";
-    for (std::size_t index = 0; index < std::min(broken.size(), most_lines); ++index) {
-        std::cout << "broken: " << broken[index] << "\n";
+    for (const auto& line : broken) {
+        std::cout << "broken: " << line << "\n";
     }
     return broken.empty() ? 0 : exit_broken;
 }
--- a/utilities/sassafras_soak/operation_record.hpp
+++ b/utilities/sassafras_soak/operation_record.hpp
@@ -4,7 +4,9 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace soak {
@@ -48,8 +50,25 @@
     friend auto operator<=>(const read_record&, const read_record&) = default;
 };
 
-/// All that the clients of a run saw.
+/// A statement as its client sent it.
+struct sent_statement {
+    std::string text_;
+    /// The values that were acknowledged to its session before it was sent.
+    std::map<std::string, std::string> values_;
+    /// For an `EXECUTE`: effect and shape that were acknowledged under its name; empty for none.
+    std::string prepared_;
+    /// Code and text of the error that it was answered with; empty for none.
+    std::string error_;
+
+    friend auto operator<=>(const sent_statement&, const sent_statement&) = default;
+};
+
+/// All statements of the clients, by their ids.
+using sent_statements = std::unordered_map<std::string, sent_statement>;
+
+/// All that the clients of a run sent and saw.
 struct client_history {
+    sent_statements sent_;
     std::vector<write_record> writes_;
     std::vector<read_record> reads_;
     /// Answers that belong to another statement or session, in words.
--- a/utilities/sassafras_soak/soak_client.cpp
+++ b/utilities/sassafras_soak/soak_client.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -20,11 +19,26 @@
 constexpr base::clock::duration reconnect_pause{40};
 constexpr base::clock::rep longest_pause_ms = 25;
 constexpr std::uint64_t key_count = 24;
+constexpr std::string_view execute = "EXECUTE ";
 constexpr std::uint64_t most_operations_in_session = 40;
 // Shares of the operations, in a hundred.
 constexpr std::uint64_t write_share = 35;
 constexpr std::uint64_t read_share = 45;
 constexpr std::uint64_t rollback_share = 20;
+constexpr std::uint64_t change_share = 30;
+
+// Names and shapes are few, so that they collide between clients. Several shapes share their first word, and
+// some look like statements: a daemon that builds a line from a shape may send another statement.
+constexpr std::array<std::string_view, 4> prepared_names{"s1", "s2", "s3", "q2c"};
+constexpr std::array<std::string_view, 2> effects{"FETCH", "STORE"};
+constexpr std::array<std::string_view, 14> shapes{
+    "q2c",      "q2d",      "q2c FETCH abc", "q2c FETCH abd", "q2d STORE mc", "q2c STORE abc", "q2c abc",
+    "q2c  abc", "q2c abc ", "q2c\tabc",      "q2c ",          "FETCH",        "STORE k1 v",    "s1"};
+constexpr std::array<std::string_view, 2> value_names{"note", "lang"};
+constexpr std::array<std::string_view, 6> session_texts{
+    "hr", "two words", "two  blanks", "blank at the end ", "a\ttab", "FETCH k1"};
+// The ends of written values, whose beginnings are unique.
+constexpr std::array<std::string_view, 6> value_ends{"", "", " two words", " two  blanks", " end ", "\ttab"};
 
 // Answers that promise that nothing of the attempt is kept.
 constexpr std::array<std::string_view, 6> promises{"THROTTLED", "ABORTED",   "LAGGING",
@@ -50,6 +64,8 @@
 
 asio::awaitable<bool> soak_client::begin_session() {
     ++session_;
+    values_.clear();
+    prepared_.clear();
     route_ = plan_.routes_.at(below(plan_.routes_.size()));
     const auto port = plan_.ports_.at(below(plan_.ports_.size()));
     socket_ = std::make_unique<http::line_socket>(co_await asio::this_coro::executor);
@@ -68,9 +84,59 @@
     if (!greeting || !greeting->starts_with("READY I")) {
         co_return false;
     }
-    auto text = "SET tag " + tag();
+    co_return co_await set_value("tag", tag());
+}
+
+asio::awaitable<bool> soak_client::set_value(std::string name, std::string value) {
+    auto text = "SET " + name + " " + value;
+    const auto response = co_await ask(next_id(), std::move(text));
+    if (!response.is_done()) {
+        co_return false;
+    }
+    values_.insert_or_assign(std::move(name), std::move(value));
+    co_return true;
+}
+
+asio::awaitable<bool> soak_client::prepare(std::string name, std::string effect_and_shape) {
+    auto text = "PREPARE " + name + " " + effect_and_shape;
+    const auto response = co_await ask(next_id(), std::move(text));
+    if (!response.is_done()) {
+        co_return false;
+    }
+    prepared_.insert_or_assign(std::move(name), std::move(effect_and_shape));
+    co_return true;
+}
+
+asio::awaitable<bool> soak_client::deallocate(std::string name) {
+    auto text = "DEALLOC " + name;
     const auto response = co_await ask(next_id(), std::move(text));
-    co_return response.is_whole_&& response.error_.empty();
+    if (!response.is_done()) {
+        co_return false;
+    }
+    prepared_.erase(name);
+    // No database may run a name that is gone.
+    auto execution = "EXECUTE " + name + " " + any_key();
+    const auto refused = co_await ask(next_id(), std::move(execution));
+    co_return refused.is_whole_;
+}
+
+asio::awaitable<bool> soak_client::change_session_at_times() {
+    if (below(100) >= change_share) {
+        co_return true;
+    }
+    auto name = any_of(prepared_names);
+    const auto draw = below(4);
+    if (draw == 0) {
+        auto value_name = any_of(value_names);
+        auto value = any_of(session_texts);
+        co_return co_await set_value(std::move(value_name), std::move(value));
+    }
+    if (draw == 1 && prepared_.contains(name)) {
+        co_return co_await deallocate(std::move(name));
+    }
+    auto effect_and_shape = any_of(effects) + " ";
+    effect_and_shape += any_of(shapes);
+    co_return co_await prepare(std::move(name), std::move(effect_and_shape));
 }
 
 asio::awaitable<void> soak_client::run_session() {
@@ -78,6 +144,10 @@
     bool goes_on = true;
     while (goes_on && left > 0 && !is_stopping_) {
         --left;
+        goes_on = co_await change_session_at_times();
+        if (!goes_on) {
+            break;
+        }
         const auto draw = below(100);
         if (draw < write_share) {
             goes_on = co_await write_once();
@@ -93,7 +163,7 @@
 
 asio::awaitable<bool> soak_client::write_once() {
     const auto write = next_write();
-    auto text = "STORE " + write.key_ + " " + write.value_;
+    auto text = any_verb("STORE") + " " + write.key_ + " " + write.value_;
     const auto response = co_await ask(write.id_, std::move(text));
     record(write, outcome_of(response));
     co_return response.is_whole_;
@@ -103,9 +173,9 @@
     const auto key = any_key();
     const auto id = next_id();
     const auto began_at = base::clock::now();
-    auto text = "FETCH " + key;
+    auto text = any_verb("FETCH") + " " + key;
     const auto response = co_await ask(id, std::move(text));
-    if (response.is_whole_ && response.error_.empty()) {
+    if (response.is_done()) {
         check_row(id, key, response.row_, began_at);
     }
     co_return response.is_whole_;
@@ -115,24 +185,30 @@
     std::string begin{"BEGIN"};
     const auto began_at = base::clock::now();
     const auto begun = co_await ask(next_id(), std::move(begin));
-    if (!begun.is_whole_ || !begun.error_.empty()) {
+    if (!begun.is_done()) {
         co_return begun.is_whole_;
     }
     const auto key = any_key();
     const auto id = next_id();
-    auto text = "FETCH " + key;
+    auto text = any_verb("FETCH") + " " + key;
     const auto seen = co_await ask(id, std::move(text));
-    if (seen.is_whole_ && seen.error_.empty()) {
+    bool goes_on = seen.is_whole_;
+    if (seen.is_done()) {
         check_row(id, key, seen.row_, began_at);
+        goes_on = co_await change_session_at_times();
     }
     const auto write = next_write();
     reply stored;
-    if (seen.is_whole_) {
-        auto store = "STORE " + write.key_ + " " + write.value_;
+    if (goes_on) {
+        auto store = any_verb("STORE") + " " + write.key_ + " " + write.value_;
         stored = co_await ask(write.id_, std::move(store));
     }
+    goes_on = stored.is_whole_;
+    if (stored.is_done()) {
+        goes_on = co_await change_session_at_times();
+    }
     // Without its commit nothing of the transaction may be kept.
-    if (!stored.is_whole_) {
+    if (!goes_on) {
         record(write, write_outcome::refused);
         co_return false;
     }
@@ -144,6 +220,14 @@
 }
 
 asio::awaitable<soak_client::reply> soak_client::ask(std::string id, std::string text) {
+    auto& sent = history_.sent_[id];
+    sent.text_ = text;
+    sent.values_ = values_;
+    if (text.starts_with(execute)) {
+        const auto found =
+            prepared_.find(text.substr(execute.size(), text.find(' ', execute.size()) - execute.size()));
+        sent.prepared_ = found == prepared_.end() ? std::string{} : found->second;
+    }
     reply response;
     auto line = "QUERY " + id + " " + text + "\r\n";
     socket_->expires_after(response_timeout);
@@ -163,6 +247,7 @@
         }
     }
     socket_->expires_never();
+    history_.sent_[id].error_ = response.error_;
     co_return response;
 }
 
@@ -170,10 +255,20 @@
     pending_write write;
     write.id_ = next_id();
     write.key_ = any_key();
-    write.value_ = "v" + write.id_;
+    write.value_ = "v" + write.id_ + any_of(value_ends);
     return write;
 }
 
+std::string soak_client::any_verb(const std::string& effect) {
+    std::vector<std::string> verbs{effect};
+    for (const auto& [name, prepared] : prepared_) {
+        if (prepared.starts_with(effect + " ")) {
+            verbs.push_back(std::string{execute} + name);
+        }
+    }
+    return verbs.at(below(verbs.size()));
+}
+
 void soak_client::record(const pending_write& write, write_outcome outcome) {
     history_.writes_.push_back({route_.service_, write.id_, write.key_, write.value_,
                                 session_ * plan_.clients_ + number_, outcome, base::clock::now()});
@@ -181,19 +276,21 @@
 
 void soak_client::check_row(const std::string& id, const std::string& key, const std::string& row,
                             base::clock::time_point began_at) {
-    std::istringstream words{row};
-    std::string database;
-    std::string seen_key;
-    std::string value;
-    std::string seen_tag;
-    words >> database >> seen_key >> value >> seen_tag;
-    if (seen_key != key || seen_tag != tag()) {
+    // A row is the database, the key, the value, which may have blanks, and the session's tag.
+    const auto key_begin = row.find(' ') + 1;
+    const auto value_begin = key_begin + key.size() + 1;
+    const auto value_end = row.rfind(' ');
+    const bool has_value = value_end != std::string::npos && value_end > value_begin;
+    if (!has_value || row.compare(key_begin, key.size() + 1, key + " ") != 0 ||
+        row.substr(value_end + 1) != tag()) {
         history_.mixed_answers_.push_back("read " + id + " of " + key + " by " + tag() +
                                           " was answered: " + row);
         return;
     }
-    history_.reads_.push_back({route_.service_, id, key, value, session_ * plan_.clients_ + number_, began_at,
-                               route_.staleness_, route_.sees_own_writes_});
+    auto value = row.substr(value_begin, value_end - value_begin);
+    history_.reads_.push_back({route_.service_, id, key, std::move(value),
+                               session_ * plan_.clients_ + number_, began_at, route_.staleness_,
+                               route_.sees_own_writes_});
 }
 
 write_outcome soak_client::outcome_of(const reply& response) {
--- a/utilities/sassafras_soak/soak_client.hpp
+++ b/utilities/sassafras_soak/soak_client.hpp
@@ -6,11 +6,14 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <array>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace soak {
@@ -34,7 +37,8 @@
 };
 
 /// One client: session after session at any daemon, each with single statements and transactions on keys that
-/// all clients share. It goes on using an open connection until that breaks. Thread safety: used by one
+/// all clients share, session values, and prepared statements whose names and shapes collide with those of
+/// others. It goes on using an open connection until that breaks. Thread safety: used by one
 /// thread.
 class soak_client {
 public:
@@ -52,6 +56,8 @@
         std::string row_;
         /// Empty for a success.
         std::string error_;
+
+        [[nodiscard]] bool is_done() const noexcept { return is_whole_ && error_.empty(); }
     };
     struct pending_write {
         std::string id_;
@@ -65,9 +71,20 @@
     [[nodiscard]] boost::asio::awaitable<bool> write_once();
     [[nodiscard]] boost::asio::awaitable<bool> read_once();
     [[nodiscard]] boost::asio::awaitable<bool> run_transaction();
+    /// Changes session values and prepared statements in a part of the calls.
+    [[nodiscard]] boost::asio::awaitable<bool> change_session_at_times();
+    [[nodiscard]] boost::asio::awaitable<bool> set_value(std::string name, std::string value);
+    [[nodiscard]] boost::asio::awaitable<bool> prepare(std::string name, std::string effect_and_shape);
+    [[nodiscard]] boost::asio::awaitable<bool> deallocate(std::string name);
     [[nodiscard]] boost::asio::awaitable<reply> ask(std::string id, std::string text);
 
     pending_write next_write();
+    /// Returns the beginning of a statement of an effect, `FETCH` or `STORE`: plain or with a prepared name.
+    [[nodiscard]] std::string any_verb(const std::string& effect);
+    template <std::size_t Size>
+    [[nodiscard]] std::string any_of(const std::array<std::string_view, Size>& texts) {
+        return std::string{texts.at(below(Size))};
+    }
     void record(const pending_write& write, write_outcome outcome);
     void check_row(const std::string& id, const std::string& key, const std::string& row,
                    base::clock::time_point began_at);
@@ -84,6 +101,9 @@
     std::unique_ptr<http::line_socket> socket_;
     client_route route_;
     std::uint64_t session_ = 0;
+    /// What was acknowledged in this session: its values, and effect and shape of its prepared names.
+    std::map<std::string, std::string> values_;
+    std::map<std::string, std::string> prepared_;
     std::uint64_t last_id_ = 0;
     bool is_stopping_ = false;
     bool is_done_ = false;
--- a/utilities/sassafras_soak/soak_run.cpp
+++ b/utilities/sassafras_soak/soak_run.cpp
@@ -2,6 +2,7 @@
 
 #include <http/line_socket.hpp>
 #include <http/sleep.hpp>
+#include <utilities/sassafras_soak/statement_check.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -56,8 +57,18 @@
     context_.run();
     clients_.clear();
     daemons_.clear();
-    auto broken = check_history(history_, logs());
-    broken.insert(broken.end(), broken_.begin(), broken_.end());
+    auto broken = broken_;
+    const auto add = [&broken](const std::vector<std::string>& more) {
+        broken.insert(broken.end(), more.begin(), more.end());
+    };
+    for (const auto& group : groups_) {
+        for (std::size_t number = 0; number < group->size(); ++number) {
+            const auto& database = group->database(number);
+            add(check_statements(history_.sent_, database.id(), database.seen(), database.refused()));
+        }
+    }
+    add(check_prepared_names(history_.sent_));
+    add(check_history(history_, logs()));
     return broken;
 }
 
@@ -327,7 +338,10 @@
         co_return false;
     }
     socket.expires_after(call_limit);
-    std::string lines{"START " + database + " probe\r\nQUERY probe FETCH k0\r\n"};
+    const std::string id{"probe"};
+    const std::string text{"FETCH k0"};
+    history_.sent_[id].text_ = text;
+    auto lines = "START " + database + " probe\r\nQUERY " + id + " " + text + "\r\n";
     const bool is_sent = co_await socket.write(std::move(lines));
     if (!is_sent) {
         co_return false;
