Stand-ins: Count the first term as granted by every database of a new group

Causes: a database that was not the initial primary began in term 0, so a takeover that had not heard of the initial primary could raise term 1 at the two others and promote a second primary in it. And the simulation let a proposer use a term twice, which the protocol rules out (design page, Takeover).

Change: the others begin with term 1 granted (join_group); the simulation's proposers use a term once. No check is relaxed.

--- a/stand_ins/database/decisions.cpp
+++ b/stand_ins/database/decisions.cpp
@@ -16,6 +16,8 @@
     return {state.terms().term(), std::max(recorded.index_, state.terms().start())};
 }
 
+constexpr const char* initial_proposer = "initial";
+
 bool conflicts(const outcome& recorded, const std::string& fingerprint) {
     return !fingerprint.empty() && !recorded.fingerprint_.empty() && recorded.fingerprint_ != fingerprint;
 }
@@ -156,7 +158,11 @@
 }
 
 state_changes start_group() {
-    return {term_record{1, "initial", 1}, term_start_entry(1, 1)};
+    return {term_record{1, initial_proposer, 1}, term_start_entry(1, 1)};
+}
+
+state_changes join_group() {
+    return {term_record{1, initial_proposer, 0}};
 }
 
 } // namespace stand_ins::database
--- a/stand_ins/database/decisions.hpp
+++ b/stand_ins/database/decisions.hpp
@@ -44,4 +44,8 @@
 /// Returns the changes that make a new database the primary of term 1 of a new group.
 [[nodiscard]] state_changes start_group();
 
+/// Returns the changes that make an empty database a replica of a new group. It counts as having granted the
+/// first term, so that no takeover can promote a second primary in it.
+[[nodiscard]] state_changes join_group();
+
 } // namespace stand_ins::database
--- a/stand_ins/database/main.cpp
+++ b/stand_ins/database/main.cpp
@@ -113,8 +113,8 @@
         return fail(opened.last_reason());
     }
     auto node = std::make_shared<database_node>(std::move(*opened));
-    if (FLAGS_initial_primary && node->state().terms() == term_record{}) {
-        node->commit(start_group());
+    if (node->state().terms() == term_record{}) {
+        node->commit(FLAGS_initial_primary ? start_group() : join_group());
     }
     return run(std::move(node));
 }
--- a/tests/stand_ins/test_replication.cpp
+++ b/tests/stand_ins/test_replication.cpp
@@ -7,7 +7,9 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -27,7 +29,12 @@
 // design page: raise at some databases, promote the one with the greatest last entry if they are a majority.
 class simulated_group {
 public:
-    simulated_group() { databases_[0].apply(start_group()); }
+    simulated_group() {
+        databases_[0].apply(start_group());
+        for (std::size_t member = 1; member < members; ++member) {
+            databases_[member].apply(join_group());
+        }
+    }
 
     void write(std::size_t member) {
         const auto& state = databases_[member];
@@ -61,6 +68,10 @@
 
     void take_over(std::size_t first, std::size_t reached, const std::string& proposer) {
         const auto term = databases_[first].terms().term() + 1;
+        // A proposer never uses a term twice.
+        if (!proposed_.emplace(proposer, term).second) {
+            return;
+        }
         const database_request request{database_request_fields{.term_ = term, .proposer_ = proposer}};
         std::vector<std::size_t> granted;
         for (std::size_t step = 0; step < reached; ++step) {
@@ -143,6 +154,7 @@
     std::vector<sent_push> pushes_;
     std::map<std::uint64_t, log_entry> released_;
     std::map<std::uint64_t, std::size_t> primary_of_;
+    std::set<std::pair<std::string, std::uint64_t>> proposed_;
 };
 
 void make_random_step(simulated_group& group) {
