Backends: Record what a connection holds when a begin fails

What callers would see: statements of one session run with the values of another (rule PINNED), or get NOSTMT for a statement that the session has prepared.

Cause: session values, preparations and BEGIN go out in one batch. When BEGIN was answered with an error whose code the adapter does not know, in state I, the connection stayed open and was used again, but the changes before the BEGIN were not recorded.

Change: they are recorded whenever the connection is still open, which means that all messages before the last one succeeded.

Result: session_daemon.LeavesNoValuesBehindWhenABeginFailsWithAnUnknownCode failed before (six statements with a stranger's value).

--- a/libraries/backends/statement_runner.hpp
+++ b/libraries/backends/statement_runner.hpp
@@ -379,10 +379,9 @@
         note_change(group, connection, change, statement);
         auto batch = encode_change(change);
         batch.add(Protocol::begin(access, granted.required_position_));
-        const auto count_before = batch.count_ - 1;
         auto response = co_await connection.run(std::move(batch.bytes_), batch.count_, deadline);
-        const bool is_open = connection.is_open();
-        if (is_open && (count_before == 0 || response.status_ != statement_status::unknown)) {
+        // Open means that all messages before the begin succeeded, whatever its own response is.
+        if (connection.is_open()) {
             connection.content().apply(change);
         }
         co_return response;
--- a/stand_ins/session_platform/line_database.cpp
+++ b/stand_ins/session_platform/line_database.cpp
@@ -199,6 +199,9 @@
     auto rest = text;
     const auto verb = take_word(rest);
     std::string prepared;
+    if (verb == "BEGIN" && !begin_error_.empty()) {
+        return begin_error_ + "\r\n" + ready(current);
+    }
     if (verb == "EXECUTE") {
         const auto name = take_name(rest);
         if (!name) {
--- a/stand_ins/session_platform/line_database.hpp
+++ b/stand_ins/session_platform/line_database.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace stand_ins {
@@ -73,6 +74,8 @@
     void set_losing_answers(bool is_losing) { is_losing_ = is_losing; }
     /// Answers each message this much later from now on.
     void set_answer_delay(base::clock::duration delay) { answer_delay_ = delay; }
+    /// Answers each `BEGIN` with this error line from now on, without running it; empty to run them again.
+    void set_begin_error(std::string error) { begin_error_ = std::move(error); }
     [[nodiscard]] const std::vector<seen_statement>& seen() const noexcept { return seen_; }
     [[nodiscard]] const std::vector<refused_statement>& refused() const noexcept { return refused_; }
     [[nodiscard]] std::uint64_t position() const noexcept { return number_; }
@@ -120,6 +123,7 @@
     std::vector<logged_write> rolled_back_;
     bool is_primary_ = false;
     bool is_losing_ = false;
+    std::string begin_error_;
     base::clock::duration answer_delay_{0};
     std::uint64_t term_ = 1;
     std::uint64_t number_ = 1;
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -135,6 +135,35 @@
     });
 }
 
+// Guards against session values that stay on a connection without a record of them: the begin that followed
+// them was answered with an error whose code the protocol does not name, and the connection was used again.
+TEST(session_daemon, LeavesNoValuesBehindWhenABeginFailsWithAnUnknownCode) {
+    session_fleet fleet{port_of_test(28)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    session_client first{fleet.client_port(daemon), "payouts"};
+    fleet.run_on_stand_in_thread(
+        [](session_fleet& fixture) { fixture.database(0).set_begin_error("ERROR BUSY i-0"); });
+    EXPECT_EQ(first.run("SET lang hr"), "COMPLETE -|READY I -");
+    EXPECT_EQ(first.run("BEGIN"), "COMPLETE -|READY T -");
+    EXPECT_TRUE(first.run("FETCH a").starts_with("ERROR ABORTED"));
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) { fixture.database(0).set_begin_error({}); });
+    // Transactions that are open at once use every idle connection.
+    std::vector<std::unique_ptr<session_client>> clients;
+    for (int number = 0; number < 6; ++number) {
+        clients.push_back(std::make_unique<session_client>(fleet.client_port(daemon), "payouts"));
+        EXPECT_EQ(clients.back()->run("BEGIN"), "COMPLETE -|READY T -");
+        EXPECT_NE(clients.back()->run("FETCH b").find("|READY T "), std::string::npos);
+    }
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        EXPECT_GE(fixture.database(0).seen().size(), 12U);
+        for (const auto& one : fixture.database(0).seen()) {
+            EXPECT_TRUE(one.values_.empty()) << one.text_;
+        }
+    });
+}
+
 // Guards against a session that reads from a lagging replica and misses its own write.
 TEST(session_daemon, ReadsTheSessionsOwnWriteFromThePrimaryWhileReplicasAreBehind) {
     session_fleet fleet{port_of_test(2)};
