Backends: Close a connection whose database lacks a prepared statement

What callers would see: after a database has lost a prepared statement that the daemon has recorded for a connection, each EXECUTE of it on that connection is refused, until the connection is reset or closed; a write was refused without a retry, as the primary was left out of the next attempt.

Change: NOSTMT proves that the record of the connection is wrong, so the connection is closed. The statement, which has not run, is retried at the same database on another connection, where it is prepared again.

--- a/libraries/backends/retry_decision.cpp
+++ b/libraries/backends/retry_decision.cpp
@@ -15,6 +15,10 @@
         if (counts.refused_ >= max_refusals) {
             return retry_decision::refuse;
         }
+        if (status == statement_status::unknown_prepared) {
+            // Another connection to the same database gets the statement prepared again.
+            return retry_decision::retry_later;
+        }
         const bool may_change_soon =
             status == statement_status::overloaded || status == statement_status::not_primary;
         return may_change_soon && effect == statement_effect::writes ? retry_decision::retry_later
--- a/libraries/backends/statement_connection.hpp
+++ b/libraries/backends/statement_connection.hpp
@@ -78,8 +78,9 @@
 
     /// Sends `count` messages and returns the response to the last one. If an earlier one does not succeed,
     /// closes the connection and returns the response to that one. If a response is lost, closes the
-    /// connection and returns the status `unknown`. If the connection was already closed, returns
-    /// `overloaded` and sends nothing. Precondition: no other statement is in flight.
+    /// connection and returns the status `unknown`. If the database lacks a prepared statement that it should
+    /// hold, closes the connection, as the record of its content is wrong. If the connection was already
+    /// closed, returns `overloaded` and sends nothing. Precondition: no other statement is in flight.
     [[nodiscard]] boost::asio::awaitable<statement_response> run(std::string messages, std::size_t count,
                                                                  base::clock::time_point deadline) {
         if (!socket_.is_open()) {
@@ -103,6 +104,9 @@
         } else {
             socket_.close();
         }
+        if (response.status_ == statement_status::unknown_prepared) {
+            socket_.close();
+        }
         socket_.expires_never();
         has_timed_out_ = socket_.has_expired();
         co_return response;
--- a/stand_ins/session_platform/line_database.cpp
+++ b/stand_ins/session_platform/line_database.cpp
@@ -203,6 +203,9 @@
         return begin_error_ + "\r\n" + ready(current);
     }
     if (verb == "EXECUTE") {
+        if (is_forgetting_prepared_) {
+            current.prepared_.clear();
+        }
         const auto name = take_name(rest);
         if (!name) {
             return refuse(current, id, text, "MALFORMED");
--- a/stand_ins/session_platform/line_database.hpp
+++ b/stand_ins/session_platform/line_database.hpp
@@ -76,6 +76,8 @@
     void set_answer_delay(base::clock::duration delay) { answer_delay_ = delay; }
     /// Answers each `BEGIN` with this error line from now on, without running it; empty to run them again.
     void set_begin_error(std::string error) { begin_error_ = std::move(error); }
+    /// Forgets a connection's prepared statements from now on whenever one is to be executed.
+    void set_forgetting_prepared(bool is_forgetting) { is_forgetting_prepared_ = is_forgetting; }
     [[nodiscard]] const std::vector<seen_statement>& seen() const noexcept { return seen_; }
     [[nodiscard]] const std::vector<refused_statement>& refused() const noexcept { return refused_; }
     [[nodiscard]] std::uint64_t position() const noexcept { return number_; }
@@ -124,6 +126,7 @@
     bool is_primary_ = false;
     bool is_losing_ = false;
     std::string begin_error_;
+    bool is_forgetting_prepared_ = false;
     base::clock::duration answer_delay_{0};
     std::uint64_t term_ = 1;
     std::uint64_t number_ = 1;
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -184,6 +184,15 @@
               backends::retry_decision::respond);
 }
 
+// Guards against a write that is refused because the primary, which alone may run it, was left out of the
+// retry.
+TEST(retry_decision, RetriesAtTheSameDatabaseWhenAPreparedStatementIsUnknown) {
+    for (const auto effect : {backends::statement_effect::reads, backends::statement_effect::writes}) {
+        EXPECT_EQ(backends::decide_retry(statement_status::unknown_prepared, effect, {1, 0}, 2),
+                  backends::retry_decision::retry_later);
+    }
+}
+
 // Guards against statements that are retried without end at databases that all refuse them.
 TEST(retry_decision, RefusesAfterSeveralRefusals) {
     for (const auto effect : {backends::statement_effect::reads, backends::statement_effect::writes}) {
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -164,6 +164,24 @@
     });
 }
 
+// Guards against a connection that is used again although its database no longer has the prepared statements
+// that the daemon has recorded for it.
+TEST(session_daemon, PreparesAgainAfterADatabaseLostAPreparedStatement) {
+    session_fleet fleet{port_of_test(29)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    session_client client{fleet.client_port(daemon), "payouts"};
+    EXPECT_EQ(client.run("PREPARE s STORE q"), "COMPLETE -|READY I -");
+    EXPECT_TRUE(client.run("EXECUTE s a 1").starts_with("COMPLETE sig."));
+    fleet.run_on_stand_in_thread(
+        [](session_fleet& fixture) { fixture.database(0).set_forgetting_prepared(true); });
+    EXPECT_TRUE(client.run("EXECUTE s a 2").starts_with("ERROR "));
+    fleet.run_on_stand_in_thread(
+        [](session_fleet& fixture) { fixture.database(0).set_forgetting_prepared(false); });
+    EXPECT_TRUE(client.run("EXECUTE s a 3").starts_with("COMPLETE sig."));
+}
+
 // Guards against a session that reads from a lagging replica and misses its own write.
 TEST(session_daemon, ReadsTheSessionsOwnWriteFromThePrimaryWhileReplicasAreBehind) {
     session_fleet fleet{port_of_test(2)};
