Callers: Bound what one session makes the daemon hold

What operators would see: one client that prepares large statements, or sets many values, takes a daemon over its memory limit, and all sessions of it end.

A SET or PREPARE beyond that is refused at once with THROTTLED, which promises that nothing has run; the other sessions are not affected.

--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -185,11 +185,13 @@
         }
         switch (step) {
         case callers::session_step::store_value:
-            values_.set(statement->name_, statement->argument_);
-            co_return accept();
+            co_return values_.set(statement->name_, statement->argument_)
+                ? accept()
+                : refuse(backends::statement_status::overloaded, session_full);
         case callers::session_step::store_prepared:
-            values_.prepare(statement->name_, {statement->effect_, statement->argument_});
-            co_return accept();
+            co_return values_.prepare(statement->name_, {statement->effect_, statement->argument_})
+                ? accept()
+                : refuse(backends::statement_status::overloaded, session_full);
         case callers::session_step::remove_prepared:
             co_return values_.deallocate(statement->name_)
                 ? accept()
@@ -549,6 +551,7 @@
 
     static constexpr std::size_t max_logged_name = 64;
     static constexpr const char* stopping = "the daemon is stopping";
+    static constexpr const char* session_full = "the session holds too many values and prepared statements";
     // Below the two seconds after which clients abandon a session that has not started.
     static constexpr base::clock::duration configuration_timeout{1'700};
     static constexpr base::clock::duration configuration_poll_interval{20};
--- a/tests/callers/test_session.cpp
+++ b/tests/callers/test_session.cpp
@@ -40,15 +40,37 @@
 
 TEST(session_values, StoresTheLatestValueAndRemovesDeallocatedNames) {
     callers::session_values values;
-    values.set("lang", "hr");
-    values.set("lang", "fi");
+    EXPECT_TRUE(values.set("lang", "hr"));
+    EXPECT_TRUE(values.set("lang", "fi"));
     EXPECT_EQ(values.values().at("lang"), "fi");
-    values.prepare("s1", {base::prepared_effect::reads, "q"});
-    values.prepare("s1", {base::prepared_effect::writes, "q"});
+    EXPECT_TRUE(values.prepare("s1", {base::prepared_effect::reads, "q"}));
+    EXPECT_TRUE(values.prepare("s1", {base::prepared_effect::writes, "q"}));
     EXPECT_EQ(values.find_prepared("s1")->effect_, base::prepared_effect::writes);
     EXPECT_TRUE(values.deallocate("s1"));
     EXPECT_FALSE(values.deallocate("s1"));
     EXPECT_EQ(values.find_prepared("s1"), std::nullopt);
 }
 
+// Guards against a client that makes the daemon hold any amount of memory with values and prepared
+// statements.
+TEST(session_values, RefusesWhatExceedsItsSizeAndKeepsTheRest) {
+    callers::session_values values;
+    const std::string half(callers::session_values::max_bytes / 2, 'x');
+    EXPECT_TRUE(values.set("a", half));
+    EXPECT_FALSE(values.prepare("s1", {base::prepared_effect::reads, half}));
+    EXPECT_EQ(values.find_prepared("s1"), std::nullopt);
+    EXPECT_TRUE(values.set("a", half));
+    EXPECT_TRUE(values.set("a", "1"));
+    EXPECT_TRUE(values.prepare("s1", {base::prepared_effect::reads, half}));
+    EXPECT_FALSE(values.set("a", half));
+    EXPECT_EQ(values.values().at("a"), "1");
+    EXPECT_TRUE(values.deallocate("s1"));
+    EXPECT_TRUE(values.set("a", half));
+    int accepted = 0;
+    while (accepted < 100'000 && values.set("n" + std::to_string(accepted), {})) {
+        ++accepted;
+    }
+    EXPECT_LT(accepted, 100'000);
+}
+
 } // namespace
