Proxy: Check which shape ran in the test of shapes with spaces

A shape whose second word is the other verb is the worst case: before the fix a read ran as a write.

--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -79,15 +79,17 @@
     const auto daemon = fleet.start_daemon();
     ASSERT_TRUE(fleet.becomes_ready(daemon));
     session_client client{fleet.client_port(daemon), "payouts"};
-    EXPECT_EQ(client.run("PREPARE s1 STORE q STORE x"), "COMPLETE -|READY I -");
-    EXPECT_EQ(client.run("PREPARE s2 FETCH q FETCH  y "), "COMPLETE -|READY I -");
-    EXPECT_EQ(client.run("PREPARE s3 FETCH q FETCH z"), "COMPLETE -|READY I -");
+    EXPECT_EQ(client.run("PREPARE s1 STORE q FETCH x"), "COMPLETE -|READY I -");
+    EXPECT_EQ(client.run("PREPARE s2 FETCH q STORE  y "), "COMPLETE -|READY I -");
+    EXPECT_EQ(client.run("PREPARE s3 FETCH q z"), "COMPLETE -|READY I -");
     EXPECT_TRUE(client.run("EXECUTE s1 a 1  2").starts_with("COMPLETE sig."));
     EXPECT_TRUE(client.run("EXECUTE s2 a").starts_with("ROW i-0 a 1  2 -|"));
     EXPECT_TRUE(client.run("EXECUTE s3 b").starts_with("ROW i-0 b - -|"));
     EXPECT_TRUE(client.run("EXECUTE s2 a").starts_with("ROW i-0 a 1  2 -|"));
     fleet.run_on_stand_in_thread([](session_fleet& fixture) {
         const std::vector<std::string> arguments{"a 1  2", "a", "b", "a"};
+        const std::vector<std::string> shapes{"STORE q FETCH x", "FETCH q STORE  y ", "FETCH q z",
+                                              "FETCH q STORE  y "};
         const auto& seen = fixture.database(0).seen();
         ASSERT_EQ(seen.size(), arguments.size());
         for (std::size_t index = 0; index < arguments.size(); ++index) {
@@ -95,6 +97,7 @@
             const std::string verb{"EXECUTE "};
             ASSERT_TRUE(text.starts_with(verb)) << text;
             EXPECT_EQ(text.substr(text.find(' ', verb.size()) + 1), arguments[index]);
+            EXPECT_EQ(seen[index].prepared_, shapes[index]);
         }
     });
 }
