Stand-ins: Check each primary for the entries released up to its term

Cause: the check, not the stand-in database or the product. It took the primary with the greatest term among the databases that are primaries at the moment for the newest one. Shortest sequence: databases 1 and 2 grant term 2, 1 is promoted and releases an entry of term 2 that 2 holds; then 1 alone grants term 3 and steps down. Database 0, which has not heard of term 2, is the only primary left, and the check wanted the entry of term 2 from it.

Change: every primary, not only the newest one, must have every entry released in its term or an earlier one, and an index that is released again must have the same entry. Only the comparison of a replaced primary with entries of later terms is gone.

--- a/tests/stand_ins/test_replication.cpp
+++ b/tests/stand_ins/test_replication.cpp
@@ -101,7 +101,8 @@
                     return one.last().term() == terms.term() && one.last().index() >= index;
                 };
                 if (std::count_if(databases_.begin(), databases_.end(), holds) >= 2) {
-                    released_.try_emplace(index, primary.entries()[index - 1]);
+                    const auto& entry = primary.entries()[index - 1];
+                    RC_ASSERT(released_.try_emplace(index, entry).first->second == entry);
                 }
             }
         }
@@ -131,18 +132,16 @@
         }
     }
 
-    void check_newest_primary_has_released() const {
-        const auto& newest =
-            *std::max_element(databases_.begin(), databases_.end(), [](const auto& one, const auto& other) {
-                return (one.terms().is_primary() ? one.terms().term() : 0) <
-                       (other.terms().is_primary() ? other.terms().term() : 0);
-            });
-        if (!newest.terms().is_primary()) {
-            return;
-        }
-        for (const auto& [index, entry] : released_) {
-            RC_ASSERT(index <= newest.last().index());
-            RC_ASSERT(newest.entries()[index - 1] == entry);
+    // A primary begins its term with an entry of its own, so an entry is released in the term that it is of.
+    // A replaced primary that has not heard of a later term lacks what was released in that one.
+    void check_primaries_have_released() const {
+        for (const auto& primary : databases_) {
+            for (const auto& [index, entry] : released_) {
+                if (primary.terms().is_primary() && entry->position_.term() <= primary.terms().term()) {
+                    RC_ASSERT(index <= primary.last().index());
+                    RC_ASSERT(primary.entries()[index - 1] == entry);
+                }
+            }
         }
     }
 
@@ -194,11 +193,26 @@
         group.note_released();
         group.check_logs_match();
         group.check_primaries();
-        group.check_newest_primary_has_released();
+        group.check_primaries_have_released();
     }
     RC_CLASSIFY(group.released() > 5, "more than five entries released");
 }
 
+// Guards against a check that wants entries of a later term from a replaced primary. Database 0 never hears
+// of term 2, and database 1, which released an entry in it, steps down for a takeover without a majority.
+TEST(replication, replaced_primary_lacks_entries_of_later_terms) {
+    simulated_group group;
+    group.take_over(1, majority, "p");
+    group.send(1, 2, 0);
+    group.deliver(0);
+    group.send(1, 2, 1);
+    group.deliver(0);
+    group.note_released();
+    EXPECT_EQ(group.released(), 1U);
+    group.take_over(1, 1, "q");
+    group.check_primaries_have_released();
+}
+
 // Guards against a replica that keeps entries of a replaced primary behind those of the new one.
 TEST(replication, divergent_suffix_is_replaced) {
     auto replica = state_with({1, 1, 1, 1});
