Stand-ins: Count only databases of the term as holders in the simulated group

Seen: by reading, with the trace of replication.released_entries_survive_takeovers. The simulated group counts a database of a later term that ends in an entry of term T as a holder in term T.

Cause: note_released compared only the term of the last entry.

Change: note_released requires the database's own term too.

--- a/tests/stand_ins/test_replication.cpp
+++ b/tests/stand_ins/test_replication.cpp
@@ -98,7 +98,8 @@
             const auto& terms = primary.terms();
             for (auto index = terms.start(); terms.is_primary() && index <= primary.last().index(); ++index) {
                 const auto holds = [&](const auto& one) {
-                    return one.last().term() == terms.term() && one.last().index() >= index;
+                    return one.terms().term() == terms.term() && one.last().term() == terms.term() &&
+                           one.last().index() >= index;
                 };
                 if (std::count_if(databases_.begin(), databases_.end(), holds) >= 2) {
                     const auto& entry = primary.entries()[index - 1];
@@ -213,6 +214,27 @@
     group.check_primaries_have_released();
 }
 
+// Guards against counting a database of a later term, which the acknowledgement gate does not count, as
+// holding an entry of a replaced primary because its new primary has sent it that one.
+TEST(replication, databases_of_later_terms_do_not_release) {
+    simulated_group group;
+    group.send(0, 1, 0);
+    group.deliver(0);
+    group.send(0, 1, 1);
+    group.deliver(0);
+    group.take_over(1, majority, "p");
+    group.send(1, 2, 0);
+    group.deliver(0);
+    group.send(1, 2, 1);
+    group.deliver(0);
+    group.note_released();
+    EXPECT_EQ(group.released(), 0U);
+    group.send(1, 2, 1);
+    group.deliver(0);
+    group.note_released();
+    EXPECT_EQ(group.released(), 1U);
+}
+
 // Guards against a replica that keeps entries of a replaced primary behind those of the new one.
 TEST(replication, divergent_suffix_is_replaced) {
     auto replica = state_with({1, 1, 1, 1});
