Proxy: Fail the transaction in which a value or statement is refused

What callers would see: a SET or PREPARE beyond 1 MiB inside a transaction is refused with THROTTLED, which promises that nothing of the operation is kept, and a COMMIT after it was carried out.

Change: the refusal fails the transaction, as the refusal of any other statement in it does; a COMMIT rolls back and is answered ABORTED.

Result: session_daemon.KeepsNothingOfATransactionInWhichAValueWasRefused failed before.

--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -185,13 +185,11 @@
         }
         switch (step) {
         case callers::session_step::store_value:
-            co_return values_.set(statement->name_, statement->argument_)
-                ? accept()
-                : refuse(backends::statement_status::overloaded, session_full);
+            co_return values_.set(statement->name_, statement->argument_) ? accept() : refuse_change();
         case callers::session_step::store_prepared:
             co_return values_.prepare(statement->name_, {statement->effect_, statement->argument_})
                 ? accept()
-                : refuse(backends::statement_status::overloaded, session_full);
+                : refuse_change();
         case callers::session_step::remove_prepared:
             co_return values_.deallocate(statement->name_)
                 ? accept()
@@ -219,6 +217,15 @@
         co_return refuse(backends::statement_status::malformed, "not expected now");
     }
 
+    /// Refuses a value or prepared statement that the session has no room for. The refusal promises that
+    /// nothing of the operation is kept, so it fails a transaction.
+    [[nodiscard]] response_type refuse_change() {
+        if (phase_ != callers::session_phase::idle) {
+            phase_ = callers::session_phase::failed;
+        }
+        return refuse(backends::statement_status::overloaded, session_full);
+    }
+
     /// Refuses a statement because the daemon is stopping. A transaction that has not been assigned to a
     /// database has not run, so it counts as rolled back.
     [[nodiscard]] response_type refuse_while_stopping(callers::session_step step) {
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -138,6 +138,24 @@
     });
 }
 
+// Guards against a commit of a transaction that a client was told, by a refusal, is not kept.
+TEST(session_daemon, KeepsNothingOfATransactionInWhichAValueWasRefused) {
+    session_fleet fleet{port_of_test(30)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    session_client client{fleet.client_port(daemon), "payouts"};
+    const std::string value(700'000, 'x');
+    EXPECT_EQ(client.run("SET big " + value), "COMPLETE -|READY I -");
+    EXPECT_EQ(client.run("BEGIN"), "COMPLETE -|READY T -");
+    EXPECT_NE(client.run("STORE a 1").find("|READY T "), std::string::npos);
+    const auto refused = client.run("SET more " + value);
+    EXPECT_TRUE(refused.starts_with("ERROR THROTTLED ")) << refused;
+    EXPECT_TRUE(refused.ends_with("|READY E -")) << refused;
+    EXPECT_TRUE(client.run("COMMIT").starts_with("ERROR ABORTED "));
+    EXPECT_TRUE(client.run("FETCH a").starts_with("ROW i-0 a - -|"));
+}
+
 // Guards against session values that stay on a connection without a record of them: the begin that followed
 // them was answered with an error whose code the protocol does not name, and the connection was used again.
 TEST(session_daemon, LeavesNoValuesBehindWhenABeginFailsWithAnUnknownCode) {
