--- a/tests/adapter/test_line_protocol.cpp
+++ b/tests/adapter/test_line_protocol.cpp
@@ -158,6 +158,16 @@
               "QUERY 5c AFTER 3.7 EXECUTE " + field + " 1a4\r\n");
 }
 
+// Guards against an identifier or a name of a value that a database takes for two fields.
+TEST(line_protocol, RejectsControlCharactersInForwardedFields) {
+    EXPECT_EQ(decode("QUERY 5c SET a\tb v").kind_, statement_kind::malformed);
+    EXPECT_EQ(decode("QUERY 5c SET a\x7f v").kind_, statement_kind::malformed);
+    EXPECT_EQ(decode("QUERY 5c SET a v\tw").kind_, statement_kind::set_value);
+    EXPECT_EQ(decode("QUERY 5c EXECUTE s\t1 a").kind_, statement_kind::execute);
+    const auto message = line_protocol::decode_client("QUERY 5c\td FETCH a");
+    EXPECT_TRUE(std::holds_alternative<callers::unreadable_message>(message));
+}
+
 TEST(line_protocol, DecodesTheLinesOfADatabase) {
     const auto ready = line_protocol::decode_database("READY E 3.1209");
     EXPECT_EQ(ready.kind_, backends::database_line_kind::ready);
