--- a/libraries/backends/retry_decision.cpp
+++ b/libraries/backends/retry_decision.cpp
@@ -16,7 +16,7 @@
             return retry_decision::refuse;
         }
         if (status == statement_status::unknown_prepared) {
-            // Another connection to the same database gets the statement prepared again.
+            // The connection was closed, so the statement is prepared again, also at the same database.
             return retry_decision::retry_later;
         }
         const bool may_change_soon =
--- a/libraries/base/event.hpp
+++ b/libraries/base/event.hpp
@@ -28,7 +28,8 @@
 };
 
 /// The length above which a logged value is cut. Peers choose the text of many values: a statement's
-/// identifier may have almost 1 MiB, and the queue of the log holds thousands of lines.
+/// identifier may have almost 1 MiB, and the queue of the log holds thousands of lines. The longest value of
+/// the daemon itself, a list of executions, fits.
 inline constexpr std::size_t max_logged_value_bytes = 5120;
 
 /// Logs an event as one line, for example `E301 takeover_started group=ledger term=5`. Values with spaces are
--- a/libraries/callers/session_values.hpp
+++ b/libraries/callers/session_values.hpp
@@ -47,7 +47,7 @@
 
     [[nodiscard]] const std::map<std::string, std::string>& values() const noexcept { return values_; }
 
-    /// Bounds what one client makes the daemon hold; a single message always fits.
+    /// Bounds what one client makes the daemon hold. A single message fits if the session is empty.
     static constexpr std::size_t max_bytes = std::size_t{1024} * 1024;
 
 private:
--- a/libraries/proxy/session_counters.hpp
+++ b/libraries/proxy/session_counters.hpp
@@ -14,7 +14,8 @@
     std::atomic<std::uint64_t> statements_refused_{0};
     std::atomic<std::uint64_t> statements_failed_{0};
     std::atomic<std::uint64_t> statements_unknown_{0};
-    /// Statements that a client sent and that were refused as malformed; they count as failed as well.
+    /// Statements that this daemon or a database refused as malformed, which count as failed as well, and
+    /// lines of clients that are no statement.
     std::atomic<std::uint64_t> statements_malformed_{0};
     /// Statements that were sent to be prepared on a database connection.
     std::atomic<std::uint64_t> statements_prepared_{0};
