--- /dev/null
+++ b/review/stand_ins_2/main.cpp
@@ -0,0 +1,232 @@
+// Plays one case of the second review: review_case CASE ROOT FOLDER RECORD. Exits with 1 if the rule was broken, 0 if
+// it held and 2 if the case could not run. With TROUBLE=0 the disruption is left out.
+
+#include "fleet.hpp"
+
+#include <http/sleep.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using base::clock;
+using review::fleet;
+
+constexpr int held = 0;
+constexpr int broken = 1;
+constexpr int could_not_run = 2;
+constexpr const char* service = "huvo11a";
+constexpr const char* other_service = "kafi81c";
+constexpr std::size_t machines = 5;
+constexpr clock::duration start_limit{10'000};
+
+bool has_trouble() {
+    const auto* value = std::getenv("TROUBLE");
+    return value == nullptr || std::string{value} != "0";
+}
+
+boost::asio::awaitable<bool> start_machines(fleet& all) {
+    for (std::size_t number = 0; number < machines; ++number) {
+        all.add_daemon();
+    }
+    for (std::size_t number = 0; number < machines; ++number) {
+        const bool is_ready = co_await all.wait_until_ready(number, start_limit);
+        if (!is_ready) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+/// Waits until a condition holds. Returns whether it did in time.
+boost::asio::awaitable<bool> wait_for(std::function<bool()> condition, clock::duration limit) {
+    const auto end = clock::now() + limit;
+    while (!condition()) {
+        if (clock::now() >= end) {
+            co_return false;
+        }
+        co_await http::sleep_for(clock::duration{10});
+    }
+    co_return true;
+}
+
+std::size_t count_served(const fleet& all, clock::time_point from, clock::time_point to) {
+    return static_cast<std::size_t>(
+        std::count_if(all.operations().begin(), all.operations().end(), [from, to](const auto& one) {
+            return one.sent_at_ >= from && one.sent_at_ < to && one.status_ == "COMPLETE";
+        }));
+}
+
+std::size_t count_sent(const fleet& all, clock::time_point from, clock::time_point to) {
+    return static_cast<std::size_t>(
+        std::count_if(all.operations().begin(), all.operations().end(),
+                      [from, to](const auto& one) { return one.sent_at_ >= from && one.sent_at_ < to; }));
+}
+
+/// ONE: no promotion call of a service has a lower token than an earlier one.
+boost::asio::awaitable<int> play_token(fleet& all) {
+    constexpr clock::duration copy_age{6'000};
+    constexpr clock::duration away{500};
+    const bool is_started = co_await start_machines(all);
+    if (!is_started) {
+        co_return could_not_run;
+    }
+    all.run_client(0, service, "a", true, clock::duration{20});
+    co_await http::sleep_for(clock::duration{8'000});
+    const auto first_leader = all.leader();
+    if (!first_leader) {
+        co_return could_not_run;
+    }
+    // Planned work: a machine is stopped and started, and a primary is to be replaced.
+    all.signal_daemon(*first_leader, SIGTERM);
+    const std::function<bool()> has_other_leader = [&all, &first_leader] {
+        return all.leader() && *all.leader() != *first_leader;
+    };
+    const bool has_changed = co_await wait_for(has_other_leader, clock::duration{5'000});
+    if (!has_changed) {
+        co_return could_not_run;
+    }
+    all.note("leader key of frontend-" + std::to_string(*all.leader()) + " has revision " +
+             std::to_string(all.platform_store().revision_of("sassafrasdeal/duty")));
+    all.drain(all.primary_of(service), clock::duration{2'000});
+    const std::function<bool()> has_promotion = [&all] {
+        return !all.promotions().empty();
+    };
+    const bool is_promoted = co_await wait_for(has_promotion, clock::duration{8'000});
+    if (!is_promoted) {
+        co_return could_not_run;
+    }
+    if (has_trouble()) {
+        co_await http::sleep_for(clock::duration{100});
+        all.note("drill: the store goes away, revision " + std::to_string(all.platform_store().revision()));
+        co_await all.platform_store().drill(copy_age, away);
+        all.note("drill: the store is back, revision " + std::to_string(all.platform_store().revision()) + ", era " +
+                 std::to_string(all.platform_store().era()));
+    }
+    // More planned work: the primaries of two services are to be replaced.
+    co_await http::sleep_for(clock::duration{4'000});
+    all.drain(all.primary_of(service), clock::duration{12'000});
+    all.drain(all.primary_of(other_service), clock::duration{12'000});
+    co_await http::sleep_for(clock::duration{26'000});
+    int result = held;
+    std::map<std::string, std::uint64_t> greatest;
+    for (const auto& call : all.promotions()) {
+        // Each service is checked for itself, which is less strict than the rule.
+        auto& seen = greatest[call.service_];
+        if (call.token_ < seen) {
+            all.note("BROKEN: the platform saw token " + std::to_string(call.token_) + " of " + call.holder_ +
+                     " for " + call.service_ + " after token " + std::to_string(seen));
+            result = broken;
+        }
+        seen = std::max(seen, call.token_);
+    }
+    const auto now = clock::now();
+    all.note("last 10 s: served " + std::to_string(count_served(all, now - clock::duration{10'000}, now)) + " of " +
+             std::to_string(count_sent(all, now - clock::duration{10'000}, now)) + " statements");
+    co_return result;
+}
+
+/// DRAIN: no statement reaches a draining database later than `drain-ms` after the store has accepted that.
+boost::asio::awaitable<int> play_drain(fleet& all) {
+    constexpr clock::duration copy_age{5'000};
+    constexpr clock::duration away{500};
+    constexpr clock::duration stable_window{4'000};
+    constexpr clock::duration longer{5'000};
+    const bool is_started = co_await start_machines(all);
+    if (!is_started) {
+        co_return could_not_run;
+    }
+    for (std::size_t number = 0; number < machines; ++number) {
+        all.run_client(number, service, "a" + std::to_string(number), true, clock::duration{30});
+    }
+    co_await http::sleep_for(clock::duration{7'000});
+    // Planned work: the first primary is replaced.
+    const auto first = all.primary_of(service);
+    all.drain(first, clock::duration{2'000});
+    const std::function<bool()> has_other_primary = [&all, &first] {
+        return all.primary_of(service) != first;
+    };
+    const bool is_replaced = co_await wait_for(has_other_primary, clock::duration{8'000});
+    if (!is_replaced) {
+        co_return could_not_run;
+    }
+    co_await http::sleep_for(clock::duration{1'000});
+    if (has_trouble()) {
+        all.note("drill: the store goes away, revision " + std::to_string(all.platform_store().revision()));
+        co_await all.platform_store().drill(copy_age, away);
+        all.note("drill: the store is back, revision " + std::to_string(all.platform_store().revision()) + ", era " +
+                 std::to_string(all.platform_store().era()));
+    }
+    // The store has been without disruption for longer than `stable-window-ms` when the second primary drains.
+    co_await http::sleep_for(stable_window + clock::duration{4'000});
+    const auto second = all.primary_of(service);
+    all.drain(second, longer);
+    const std::function<bool()> is_draining = [&all, &second] {
+        return all.draining_since(second).has_value();
+    };
+    const bool is_accepted = co_await wait_for(is_draining, clock::duration{2'000});
+    if (!is_accepted) {
+        co_return could_not_run;
+    }
+    const auto accepted_at = *all.draining_since(second);
+    co_await http::sleep_for(accepted_at + fleet::drain_time + longer - clock::now());
+    const auto ended_at = clock::now();
+    co_await http::sleep_for(clock::duration{20'000});
+    const auto late_from = accepted_at + fleet::drain_time;
+    std::size_t late = 0;
+    for (const auto& one : all.statements_at(second)) {
+        late += one.ran_at_ > late_from ? 1 : 0;
+    }
+    const auto now = clock::now();
+    all.note("statements at the draining primary later than drain-ms: " + std::to_string(late));
+    all.note("since 5 s after its end: served " +
+             std::to_string(count_served(all, ended_at + clock::duration{5'000}, now)) + " of " +
+             std::to_string(count_sent(all, ended_at + clock::duration{5'000}, now)) + " statements");
+    std::size_t unanswered = 0;
+    for (const auto& one : all.operations()) {
+        const bool is_near_end = one.sent_at_ > ended_at - clock::duration{500} && one.sent_at_ < ended_at;
+        unanswered += is_near_end && (one.status_ == "-" || one.status_ == "UNKNOWN") ? 1 : 0;
+    }
+    all.note("writes whose outcome the clients never learned when it ended: " + std::to_string(unanswered));
+    if (late > 0) {
+        all.note("BROKEN: DRAIN");
+    }
+    co_return late > 0 ? broken : held;
+}
+
+} // namespace
+
+int main(int count, char** arguments) {
+    const std::string name{count == 5 ? arguments[1] : ""};
+    if (name != "token" && name != "drain") {
+        std::cerr << "usage: review_case token|drain ROOT FOLDER RECORD\n";
+        return could_not_run;
+    }
+    boost::asio::io_context context{1};
+    int result = could_not_run;
+    {
+        fleet all{context, arguments[2], arguments[3], arguments[4]};
+        if (!all.start()) {
+            return could_not_run;
+        }
+        auto play = name == "token" ? play_token(all) : play_drain(all);
+        boost::asio::co_spawn(context, std::move(play), [&](const std::exception_ptr& failure, int outcome) {
+            result = failure ? could_not_run : outcome;
+            context.stop();
+        });
+        context.run();
+        all.write_operations();
+    }
+    std::cout << "result " << result << std::endl;
+    std::_Exit(result);
+}
