Review: Show a suspended leader that sends its promotion call after the next one's

Cause: the leadership is checked before the connection for a promotion call is opened, and not again before it is sent.

--- a/review/stand_ins_2/fleet.cpp
+++ b/review/stand_ins_2/fleet.cpp
@@ -108,15 +108,18 @@
 bool fleet::start() {
     static_cast<void>(time_text(clock::now()));
     store_port_ = next_port();
+    const auto promotion_server_port = next_port();
     promotion_port_ = next_port();
     store_ = std::make_shared<review::store>(context_.get_executor(), base::endpoint{host, store_port_});
-    auto promotions = http::listener::open(context_.get_executor(), {host, promotion_port_});
+    auto promotions = http::listener::open(context_.get_executor(), {host, promotion_server_port});
     if (!store_->listen() || !promotions) {
         return false;
     }
     std::make_shared<http::server<promotion_handler>>(context_.get_executor(), std::move(*promotions),
                                                       promotion_handler{this}, http::limits{}, nullptr, 100)
         ->start();
+    gate_ = std::make_unique<review::gate>(context_, base::endpoint{host, promotion_port_},
+                                           base::endpoint{host, promotion_server_port});
     std::string routes;
     std::string listed;
     for (const auto* name : {"huvo11a", "kafi81c", "wuno96b"}) {
--- a/review/stand_ins_2/fleet.hpp
+++ b/review/stand_ins_2/fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gate.hpp"
 #include "store.hpp"
 
 #include <stand_ins/session_platform/line_database.hpp>
@@ -87,6 +88,8 @@
     /// Returns the values that a promotion rolled back, by key.
     [[nodiscard]] std::set<std::pair<std::string, std::string>> rolled_back() const;
     [[nodiscard]] review::store& platform_store() noexcept { return *store_; }
+    /// Returns the way of the daemons to the promotion calls.
+    [[nodiscard]] review::gate& promotion_gate() noexcept { return *gate_; }
 
     static constexpr base::clock::duration drain_time{7'000};
     /// When the promotion of a database last took effect.
@@ -151,6 +154,7 @@
     std::uint16_t store_port_ = 0;
     std::uint16_t promotion_port_ = 0;
     std::shared_ptr<review::store> store_;
+    std::unique_ptr<review::gate> gate_;
     std::vector<service> services_;
     std::vector<daemon> daemons_;
     std::vector<promotion_call> promotions_;
--- a/review/stand_ins_2/main.cpp
+++ b/review/stand_ins_2/main.cpp
@@ -73,6 +73,23 @@
                       [from, to](const auto& one) { return one.sent_at_ >= from && one.sent_at_ < to; }));
 }
 
+/// Returns whether each promotion call has at least the token of the earlier ones. Each service is checked for itself,
+/// which is less strict than the rule.
+int check_tokens(fleet& all) {
+    int result = held;
+    std::map<std::string, std::uint64_t> greatest;
+    for (const auto& call : all.promotions()) {
+        auto& seen = greatest[call.service_];
+        if (call.token_ < seen) {
+            all.note("BROKEN: the platform saw token " + std::to_string(call.token_) + " of " + call.holder_ +
+                     " for " + call.service_ + " after token " + std::to_string(seen));
+            result = broken;
+        }
+        seen = std::max(seen, call.token_);
+    }
+    return result;
+}
+
 /// ONE: no promotion call of a service has a lower token than an earlier one.
 boost::asio::awaitable<int> play_token(fleet& all) {
     constexpr clock::duration copy_age{6'000};
@@ -118,18 +135,7 @@
     all.drain(all.primary_of(service), clock::duration{12'000});
     all.drain(all.primary_of(other_service), clock::duration{12'000});
     co_await http::sleep_for(clock::duration{26'000});
-    int result = held;
-    std::map<std::string, std::uint64_t> greatest;
-    for (const auto& call : all.promotions()) {
-        // Each service is checked for itself, which is less strict than the rule.
-        auto& seen = greatest[call.service_];
-        if (call.token_ < seen) {
-            all.note("BROKEN: the platform saw token " + std::to_string(call.token_) + " of " + call.holder_ +
-                     " for " + call.service_ + " after token " + std::to_string(seen));
-            result = broken;
-        }
-        seen = std::max(seen, call.token_);
-    }
+    const auto result = check_tokens(all);
     const auto now = clock::now();
     all.note("last 10 s: served " + std::to_string(count_served(all, now - clock::duration{10'000}, now)) + " of " +
              std::to_string(count_sent(all, now - clock::duration{10'000}, now)) + " statements");
@@ -204,12 +210,59 @@
     co_return late > 0 ? broken : held;
 }
 
+/// ONE: no promotion call of a service has a lower token than an earlier one.
+boost::asio::awaitable<int> play_suspension(fleet& all) {
+    const bool is_started = co_await start_machines(all);
+    if (!is_started) {
+        co_return could_not_run;
+    }
+    all.run_client(0, service, "a", true, clock::duration{20});
+    // The first leader has been the leader for longer than a new one waits for an earlier one.
+    co_await http::sleep_for(clock::duration{15'000});
+    const auto suspended = all.leader();
+    if (!suspended) {
+        co_return could_not_run;
+    }
+    if (has_trouble()) {
+        all.note("the platform's queue of promotion calls is full");
+        co_await all.promotion_gate().close();
+    }
+    // Planned work: a primary is to be replaced.
+    all.drain(all.primary_of(service), clock::duration{15'000});
+    const auto key = std::string{"sassafrasdeal/takeovers/"} + service;
+    const std::function<bool()> has_record = [&all, &key] {
+        return all.platform_store().value_of(key).find("promoting") != std::string::npos;
+    };
+    const bool is_recorded = co_await wait_for(has_record, clock::duration{8'000});
+    if (!is_recorded) {
+        co_return could_not_run;
+    }
+    if (has_trouble()) {
+        co_await http::sleep_for(clock::duration{200});
+        all.signal_daemon(*suspended, SIGSTOP);
+        co_await http::sleep_for(clock::duration{300});
+        all.promotion_gate().open();
+        all.note("the platform takes promotion calls again");
+        const std::function<bool()> has_promotion = [&all] {
+            return !all.promotions().empty();
+        };
+        const bool is_promoted = co_await wait_for(has_promotion, clock::duration{12'000});
+        co_await http::sleep_for(clock::duration{500});
+        all.signal_daemon(*suspended, SIGCONT);
+        if (!is_promoted) {
+            co_return could_not_run;
+        }
+    }
+    co_await http::sleep_for(clock::duration{5'000});
+    co_return check_tokens(all);
+}
+
 } // namespace
 
 int main(int count, char** arguments) {
     const std::string name{count == 5 ? arguments[1] : ""};
-    if (name != "token" && name != "drain") {
-        std::cerr << "usage: review_case token|drain ROOT FOLDER RECORD\n";
+    if (name != "token" && name != "drain" && name != "suspension") {
+        std::cerr << "usage: review_case token|drain|suspension ROOT FOLDER RECORD\n";
         return could_not_run;
     }
     boost::asio::io_context context{1};
@@ -219,7 +272,7 @@
         if (!all.start()) {
             return could_not_run;
         }
-        auto play = name == "token" ? play_token(all) : play_drain(all);
+        auto play = name == "token" ? play_token(all) : name == "drain" ? play_drain(all) : play_suspension(all);
         boost::asio::co_spawn(context, std::move(play), [&](const std::exception_ptr& failure, int outcome) {
             result = failure ? could_not_run : outcome;
             context.stop();
