Review: Show stale reads of machines that start after the store came back from a copy

Cause: a process that starts after the drill takes the takeover record of the copy and uses a primary that was replaced since, until a peer corrects it.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -9,7 +9,7 @@
 work=$(mktemp -d) || exit 2
 # A job of its own has a process group of its own, which includes the daemons.
 set -m
-target/review_2/review_case drain "$root" "$work" "$case_folder/record.txt" &
+target/review_2/review_case token "$root" "$work" "$case_folder/record.txt" &
 job=$!
 trap 'kill -KILL -- "-$job" 2>/dev/null; rm -rf "$work"' EXIT
 for _ in $(seq 1150); do
--- a/review/stand_ins_2/fleet.cpp
+++ b/review/stand_ins_2/fleet.cpp
@@ -37,6 +37,7 @@
 constexpr clock::duration usual_lag{60};
 constexpr clock::duration promotion_time{400};
 constexpr clock::duration work_time{9};
+constexpr clock::duration reconnect_delay{50};
 constexpr clock::duration demotion_delay{1'000};
 constexpr clock::duration restart_delay{200};
 constexpr std::uint16_t ports_of_daemon = 4;
@@ -140,7 +141,8 @@
             one.databases_.push_back(std::move(created));
         }
         routes.append(routes.empty() ? "" : ",")
-            .append(R"({"name":"r-)" + one.name_ + R"(","database-name":")" + one.name_ + R"(db","prefix":"/",)" +
+            .append(R"({"name":"r-)" + one.name_ + R"(","database-name":")" + one.name_ +
+                    R"(db","prefix":"/",)" +
                     R"("type":"primary","timeout-ms":800,"target-latency-ms":100,"priority":0,"service":")" +
                     one.name_ + R"(","max-attempts":2})");
         listed.append(listed.empty() ? "" : ",")
@@ -173,7 +175,9 @@
     std::stringstream buffer;
     buffer << file.rdbuf();
     auto text = buffer.str();
-    const auto port = [&one](int offset) { return std::to_string(one.first_port_ + offset); };
+    const auto port = [&one](int offset) {
+        return std::to_string(one.first_port_ + offset);
+    };
     fill(text, "node-name", one.name_);
     fill(text, "zone", "zg-centar");
     fill(text, "limits.cores", "1");
@@ -189,7 +193,7 @@
     fill(text, "bounds.quota-window-s", "");
     fill(text, "bounds.quota-over", "");
     fill(text, "bounds.quota-slack", "");
-    fill(text, "limits.memory-mb", "390");
+    fill(text, "limits.memory-mb", std::to_string(memory_mb_));
     fill(text, "limits.max-fds", "900");
     std::ofstream{folder_ + "/" + one.name_ + ".ini"} << text;
     daemons_.push_back(std::move(one));
@@ -213,7 +217,8 @@
     ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     // Otherwise the process would keep the stand-ins' sockets open.
     ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    if (::posix_spawn(&one.process_, program.c_str(), &actions, nullptr, arguments.data(), environment.data()) != 0) {
+    if (::posix_spawn(&one.process_, program.c_str(), &actions, nullptr, arguments.data(),
+                      environment.data()) != 0) {
         one.process_ = 0;
     }
     ::posix_spawn_file_actions_destroy(&actions);
@@ -261,6 +266,10 @@
     return local(static_cast<std::uint16_t>(daemons_.at(number).first_port_ + 2));
 }
 
+base::endpoint fleet::client_address(std::size_t number) const {
+    return {host, daemons_.at(number).first_port_};
+}
+
 std::optional<std::size_t> fleet::leader() const {
     const auto entry = store_->value_of("sassafrasdeal/duty");
     for (std::size_t number = 0; number < daemons_.size(); ++number) {
@@ -318,7 +327,8 @@
 std::vector<stand_ins::seen_statement> fleet::statements_at(const std::string& id) const {
     const auto* found = find(id);
     std::vector<stand_ins::seen_statement> statements;
-    for (const auto& one : found == nullptr ? std::vector<stand_ins::seen_statement>{} : found->server_->seen()) {
+    for (const auto& one :
+         found == nullptr ? std::vector<stand_ins::seen_statement>{} : found->server_->seen()) {
         if (one.id_ != "-") {
             statements.push_back(one);
         }
@@ -381,7 +391,8 @@
                 chosen.server_->set_primary(true, one.term_);
                 chosen.next_beat_ = now;
                 last_effect_ = now;
-                note("database " + chosen.id_ + " leads " + one.name_ + " in term " + std::to_string(one.term_));
+                note("database " + chosen.id_ + " leads " + one.name_ + " in term " +
+                     std::to_string(one.term_));
             }
         }
     }
@@ -417,17 +428,18 @@
 
 void fleet::list(service& one, database& listed, clock::time_point now) {
     ++listed.sequence_;
-    const bool is_written = store_->put(
-        "servers/" + listed.id_,
-        R"({"service":")" + one.name_ + R"(","address":")" + local(listed.port_) +
-            R"(","zone":"zg-centar","version":"v1","slots":8,"cold-remaining-ms":0,"born":)" +
-            std::to_string(listed.born_) + R"(,"sequence":)" + std::to_string(listed.sequence_) + R"(,"state":")" +
-            (listed.is_draining_ ? "draining" : "ready") + R"(","db-role":")" +
-            (listed.server_->is_primary() ? "primary" : "replica") + R"("})");
+    const bool is_written =
+        store_->put("servers/" + listed.id_,
+                    R"({"service":")" + one.name_ + R"(","address":")" + local(listed.port_) +
+                        R"(","zone":"zg-centar","version":"v1","slots":8,"cold-remaining-ms":0,"born":)" +
+                        std::to_string(listed.born_) + R"(,"sequence":)" + std::to_string(listed.sequence_) +
+                        R"(,"state":")" + (listed.is_draining_ ? "draining" : "ready") + R"(","db-role":")" +
+                        (listed.server_->is_primary() ? "primary" : "replica") + R"("})");
     listed.next_beat_ = now + (is_written ? heartbeat : clock::duration{200});
     if (is_written && listed.is_draining_ && !listed.draining_since_) {
         listed.draining_since_ = now;
-        note("the store has accepted that " + listed.id_ + " drains, revision " + std::to_string(store_->revision()));
+        note("the store has accepted that " + listed.id_ + " drains, revision " +
+             std::to_string(store_->revision()));
     }
 }
 
@@ -462,7 +474,8 @@
         if (one.name_ != name) {
             continue;
         }
-        if (one.databases_.at(one.leader_).id_ == id && one.databases_.at(one.leader_).server_->is_primary()) {
+        if (one.databases_.at(one.leader_).id_ == id &&
+            one.databases_.at(one.leader_).server_->is_primary()) {
             return 200;
         }
         for (const auto& candidate : one.databases_) {
@@ -490,7 +503,8 @@
     call.service_ = body.at("service").as_string().c_str();
     call.database_ = body.at("id").as_string().c_str();
     call.holder_ = http::find_header(message->headers_, "Lease-Holder").value_or("");
-    call.token_ = std::stoull(std::string{http::find_header(message->headers_, "Fencing-Token").value_or("0")});
+    call.token_ =
+        std::stoull(std::string{http::find_header(message->headers_, "Fencing-Token").value_or("0")});
     call.status_ = fleet_->promote(call.service_, call.database_);
     fleet_->note("promote " + call.service_ + " " + call.database_ + " holder " + call.holder_ + " token " +
                  std::to_string(call.token_) + " answered " + std::to_string(call.status_));
@@ -500,7 +514,8 @@
 
 void fleet::run_client(std::size_t daemon, std::string service, std::string key, bool is_writer,
                        clock::duration pause) {
-    asio::co_spawn(context_, client(daemon, std::move(service), std::move(key), is_writer, pause), asio::detached);
+    asio::co_spawn(context_, client(daemon, std::move(service), std::move(key), is_writer, pause),
+                   asio::detached);
 }
 
 asio::awaitable<void> fleet::client(std::size_t daemon, std::string service, std::string key, bool is_writer,
@@ -564,7 +579,7 @@
             }
         }
         socket.close();
-        co_await http::sleep_for(clock::duration{100});
+        co_await http::sleep_for(reconnect_delay);
     }
 }
 
@@ -572,8 +587,8 @@
     record_ << "operations: id daemon key value sent answered status database value-read\n";
     for (const auto& one : operations_) {
         record_ << one.id_ << " " << one.daemon_ << " " << one.key_ << " "
-                << (one.value_ == 0 ? std::string{"read"} : std::to_string(one.value_)) << " " << time_text(one.sent_at_)
-                << " " << time_text(one.answered_at_) << " " << one.status_ << " "
+                << (one.value_ == 0 ? std::string{"read"} : std::to_string(one.value_)) << " "
+                << time_text(one.sent_at_) << " " << time_text(one.answered_at_) << " " << one.status_ << " "
                 << (one.database_.empty() ? "-" : one.database_) << " " << one.read_value_ << "\n";
     }
     record_ << "statements that databases ran: database id text time\n";
@@ -582,8 +597,8 @@
             for (const auto& each : *part) {
                 for (const auto& seen : each.server_->seen()) {
                     if (seen.id_ != "-") {
-                        record_ << each.id_ << " " << seen.id_ << " " << seen.text_ << " " << time_text(seen.ran_at_)
-                                << "\n";
+                        record_ << each.id_ << " " << seen.id_ << " " << seen.text_ << " "
+                                << time_text(seen.ran_at_) << "\n";
                     }
                 }
             }
--- a/review/stand_ins_2/fleet.hpp
+++ b/review/stand_ins_2/fleet.hpp
@@ -55,15 +55,19 @@
 
     /// Starts the stand-ins and writes the configuration. Returns whether all could listen.
     [[nodiscard]] bool start();
+    [[nodiscard]] std::uint16_t next_port();
 
     /// Starts a daemon and returns its number.
     std::size_t add_daemon();
     void signal_daemon(std::size_t number, int signal);
-    [[nodiscard]] boost::asio::awaitable<bool> wait_until_ready(std::size_t number, base::clock::duration limit);
+    [[nodiscard]] boost::asio::awaitable<bool> wait_until_ready(std::size_t number,
+                                                                base::clock::duration limit);
     /// Returns the number of the daemon whose leader key is in the store.
     [[nodiscard]] std::optional<std::size_t> leader() const;
     [[nodiscard]] bool is_registered(std::size_t number) const;
     [[nodiscard]] std::string peer_address(std::size_t number) const;
+    [[nodiscard]] pid_t process_of(std::size_t number) const { return daemons_.at(number).process_; }
+    [[nodiscard]] base::endpoint client_address(std::size_t number) const;
 
     /// Runs a client until the process ends: writes growing values to a key, or reads it.
     void run_client(std::size_t daemon, std::string service, std::string key, bool is_writer,
@@ -71,8 +75,8 @@
 
     /// Returns the id of the database that leads a service.
     [[nodiscard]] std::string primary_of(const std::string& service) const;
-    /// Makes a database report that it drains. It goes on for `bounds.drain-ms` and `longer` after the store has
-    /// accepted that, then ends, and a new one takes its log and address.
+    /// Makes a database report that it drains. It goes on for `bounds.drain-ms` and `longer` after the store
+    /// has accepted that, then ends, and a new one takes its log and address.
     void drain(const std::string& id, base::clock::duration longer);
     /// Returns when the store accepted that a database drains; empty before that.
     [[nodiscard]] std::optional<base::clock::time_point> draining_since(const std::string& id) const;
@@ -92,6 +96,8 @@
     [[nodiscard]] review::gate& promotion_gate() noexcept { return *gate_; }
 
     static constexpr base::clock::duration drain_time{7'000};
+    /// The `memory-mb` of machines that are added from now on.
+    std::uint64_t memory_mb_ = 390;
     /// When the promotion of a database last took effect.
     std::optional<base::clock::time_point> last_effect_;
 
@@ -130,7 +136,8 @@
     };
     struct promotion_handler {
         fleet* fleet_;
-        boost::asio::awaitable<http::response> operator()(http::request message, std::size_t connection) const;
+        boost::asio::awaitable<http::response> operator()(http::request message,
+                                                          std::size_t connection) const;
     };
 
     boost::asio::awaitable<void> run_databases();
@@ -139,11 +146,10 @@
     void list(service& one, database& listed, base::clock::time_point now);
     void replace(service& one, database& ended);
     unsigned promote(const std::string& name, const std::string& id);
-    boost::asio::awaitable<void> client(std::size_t daemon, std::string service, std::string key, bool is_writer,
-                                        base::clock::duration pause);
+    boost::asio::awaitable<void> client(std::size_t daemon, std::string service, std::string key,
+                                        bool is_writer, base::clock::duration pause);
     void start_daemon(std::size_t number);
     [[nodiscard]] bool has_ended(std::size_t number);
-    [[nodiscard]] std::uint16_t next_port();
     [[nodiscard]] const database* find(const std::string& id) const;
 
     boost::asio::io_context& context_;
--- a/review/stand_ins_2/gate.cpp
+++ b/review/stand_ins_2/gate.cpp
@@ -74,8 +74,8 @@
     std::array<char, 16'384> bytes{};
     boost::system::error_code failure;
     for (;;) {
-        const auto count =
-            co_await from->async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, failure));
+        const auto count = co_await from->async_read_some(asio::buffer(bytes),
+                                                          asio::redirect_error(asio::use_awaitable, failure));
         if (failure) {
             break;
         }
--- a/review/stand_ins_2/gate.hpp
+++ b/review/stand_ins_2/gate.hpp
@@ -12,8 +12,9 @@
 
 namespace review {
 
-/// A loopback proxy whose queue of new connections can be full: their opening packets are then dropped and sent again
-/// by the client's system. Thread safety: used by one thread only. Lifetime: as long as the context.
+/// A loopback proxy whose queue of new connections can be full: their opening packets are then dropped and
+/// sent again by the client's system. Thread safety: used by one thread only. Lifetime: as long as the
+/// context.
 class gate {
 public:
     /// Precondition: `own` is free. Connections are passed on to `target`.
--- a/review/stand_ins_2/main.cpp
+++ b/review/stand_ins_2/main.cpp
@@ -1,5 +1,5 @@
-// Plays one case of the second review: review_case CASE ROOT FOLDER RECORD. Exits with 1 if the rule was broken, 0 if
-// it held and 2 if the case could not run. With TROUBLE=0 the disruption is left out.
+// Plays one case of the second review: review_case CASE ROOT FOLDER RECORD. Exits with 1 if the rule was
+// broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 the disruption is left out.
 
 #include "fleet.hpp"
 
@@ -73,8 +73,8 @@
                       [from, to](const auto& one) { return one.sent_at_ >= from && one.sent_at_ < to; }));
 }
 
-/// Returns whether each promotion call has at least the token of the earlier ones. Each service is checked for itself,
-/// which is less strict than the rule.
+/// Returns whether each promotion call has at least the token of the earlier ones. Each service is checked
+/// for itself, which is less strict than the rule.
 int check_tokens(fleet& all) {
     int result = held;
     std::map<std::string, std::uint64_t> greatest;
@@ -127,8 +127,8 @@
         co_await http::sleep_for(clock::duration{100});
         all.note("drill: the store goes away, revision " + std::to_string(all.platform_store().revision()));
         co_await all.platform_store().drill(copy_age, away);
-        all.note("drill: the store is back, revision " + std::to_string(all.platform_store().revision()) + ", era " +
-                 std::to_string(all.platform_store().era()));
+        all.note("drill: the store is back, revision " + std::to_string(all.platform_store().revision()) +
+                 ", era " + std::to_string(all.platform_store().era()));
     }
     // More planned work: the primaries of two services are to be replaced.
     co_await http::sleep_for(clock::duration{4'000});
@@ -137,8 +137,8 @@
     co_await http::sleep_for(clock::duration{26'000});
     const auto result = check_tokens(all);
     const auto now = clock::now();
-    all.note("last 10 s: served " + std::to_string(count_served(all, now - clock::duration{10'000}, now)) + " of " +
-             std::to_string(count_sent(all, now - clock::duration{10'000}, now)) + " statements");
+    all.note("last 10 s: served " + std::to_string(count_served(all, now - clock::duration{10'000}, now)) +
+             " of " + std::to_string(count_sent(all, now - clock::duration{10'000}, now)) + " statements");
     co_return result;
 }
 
@@ -170,10 +170,11 @@
     if (has_trouble()) {
         all.note("drill: the store goes away, revision " + std::to_string(all.platform_store().revision()));
         co_await all.platform_store().drill(copy_age, away);
-        all.note("drill: the store is back, revision " + std::to_string(all.platform_store().revision()) + ", era " +
-                 std::to_string(all.platform_store().era()));
+        all.note("drill: the store is back, revision " + std::to_string(all.platform_store().revision()) +
+                 ", era " + std::to_string(all.platform_store().era()));
     }
-    // The store has been without disruption for longer than `stable-window-ms` when the second primary drains.
+    // The store has been without disruption for longer than `stable-window-ms` when the second primary
+    // drains.
     co_await http::sleep_for(stable_window + clock::duration{4'000});
     const auto second = all.primary_of(service);
     all.drain(second, longer);
@@ -257,12 +258,113 @@
     co_return check_tokens(all);
 }
 
+/// Returns whether each read returned a value that is at least as new as the last one acknowledged before it
+/// was sent, and no acknowledged write was rolled back.
+int check_reads(fleet& all) {
+    const auto lost = all.rolled_back();
+    std::size_t lost_writes = 0;
+    std::map<std::string, std::vector<std::pair<clock::time_point, std::uint64_t>>> acknowledged;
+    for (const auto& one : all.operations()) {
+        if (one.value_ == 0 || one.status_ != "COMPLETE") {
+            continue;
+        }
+        if (lost.contains({one.key_, std::to_string(one.value_)})) {
+            ++lost_writes;
+            if (lost_writes <= 10) {
+                all.note("acknowledged and rolled back: " + one.id_ + " by frontend-" +
+                         std::to_string(one.daemon_) + " at " + one.database_ + " sent " +
+                         fleet::time_text(one.sent_at_));
+            }
+        } else {
+            acknowledged[one.key_].emplace_back(one.answered_at_, one.value_);
+        }
+    }
+    std::size_t stale = 0;
+    std::size_t reads = 0;
+    for (const auto& one : all.operations()) {
+        if (one.value_ > 0 || one.status_ != "COMPLETE") {
+            continue;
+        }
+        ++reads;
+        const auto& writes = acknowledged[one.key_];
+        const auto next =
+            std::lower_bound(writes.begin(), writes.end(), std::pair{one.sent_at_, std::uint64_t{0}});
+        if (next != writes.begin() && one.read_value_ < std::prev(next)->second) {
+            ++stale;
+            if (stale <= 10) {
+                all.note("stale: read " + one.id_ + " sent at " + fleet::time_text(one.sent_at_) +
+                         " by frontend-" + std::to_string(one.daemon_) + " at " + one.database_ +
+                         " returned " + std::to_string(one.read_value_) +
+                         ", acknowledged before: " + std::to_string(std::prev(next)->second));
+            }
+        }
+    }
+    all.note("reads " + std::to_string(reads) + ", stale " + std::to_string(stale) +
+             "; acknowledged writes that were rolled back " + std::to_string(lost_writes));
+    if (stale > 0) {
+        all.note("BROKEN: STALE");
+    }
+    return stale > 0 ? broken : held;
+}
+
+/// STALE: a read of a `primary` route runs on a log that has every commit acknowledged before it was sent.
+boost::asio::awaitable<int> play_stale(fleet& all) {
+    constexpr clock::duration copy_age{5'000};
+    constexpr clock::duration away{500};
+    constexpr clock::duration longer{10'000};
+    constexpr clock::duration between_stops{1'500};
+    const bool is_started = co_await start_machines(all);
+    if (!is_started) {
+        co_return could_not_run;
+    }
+    for (std::size_t number = 0; number < machines; ++number) {
+        all.run_client(number, service, "a" + std::to_string(number), true, clock::duration{10});
+        for (std::size_t reader = 1; reader <= 3; ++reader) {
+            all.run_client(number, service, "a" + std::to_string((number + reader) % machines), false,
+                           clock::duration{7});
+        }
+    }
+    co_await http::sleep_for(clock::duration{7'000});
+    // Planned work: the primary is replaced, and the new one again, 12 s later.
+    for (int round = 0; round < 2; ++round) {
+        const auto replaced = all.primary_of(service);
+        all.drain(replaced, longer);
+        const auto key = std::string{"sassafrasdeal/takeovers/"} + service;
+        const std::function<bool()> is_settled = [&all, &key, &replaced] {
+            const auto record = all.platform_store().value_of(key);
+            return all.primary_of(service) != replaced && record.find("settled") != std::string::npos &&
+                   record.find("\"chosen\":\"" + all.primary_of(service) + "\"") != std::string::npos;
+        };
+        const bool is_replaced = co_await wait_for(is_settled, clock::duration{8'000});
+        if (!is_replaced) {
+            co_return could_not_run;
+        }
+        all.note("the record names " + all.primary_of(service) + ", revision " +
+                 std::to_string(all.platform_store().revision_of(key)));
+        co_await http::sleep_for(round == 0 ? clock::duration{12'000} : clock::duration{500});
+    }
+    if (has_trouble()) {
+        all.note("drill: the store goes away, revision " + std::to_string(all.platform_store().revision()));
+        co_await all.platform_store().drill(copy_age, away);
+        all.note("drill: the store is back, revision " + std::to_string(all.platform_store().revision()) +
+                 ", era " + std::to_string(all.platform_store().era()));
+    }
+    co_await http::sleep_for(clock::duration{500});
+    // Planned work: the machines are stopped and started in turn.
+    for (std::size_t number = 0; number < machines; ++number) {
+        all.signal_daemon(number, SIGTERM);
+        co_await http::sleep_for(between_stops);
+    }
+    co_await http::sleep_for(clock::duration{4'000});
+    co_return check_reads(all);
+}
+
 } // namespace
 
 int main(int count, char** arguments) {
     const std::string name{count == 5 ? arguments[1] : ""};
-    if (name != "token" && name != "drain" && name != "suspension") {
-        std::cerr << "usage: review_case token|drain|suspension ROOT FOLDER RECORD\n";
+    if (name != "stale" && name != "token" && name != "drain" && name != "suspension") {
+        std::cerr << "usage: review_case stale|token|drain|suspension ROOT FOLDER RECORD\n";
         return could_not_run;
     }
     boost::asio::io_context context{1};
@@ -272,7 +374,10 @@
         if (!all.start()) {
             return could_not_run;
         }
-        auto play = name == "token" ? play_token(all) : name == "drain" ? play_drain(all) : play_suspension(all);
+        auto play = name == "stale"   ? play_stale(all)
+                    : name == "token" ? play_token(all)
+                    : name == "drain" ? play_drain(all)
+                                      : play_suspension(all);
         boost::asio::co_spawn(context, std::move(play), [&](const std::exception_ptr& failure, int outcome) {
             result = failure ? could_not_run : outcome;
             context.stop();
--- a/review/stand_ins_2/store.cpp
+++ b/review/stand_ins_2/store.cpp
@@ -41,8 +41,8 @@
     }
     http::limits limits;
     limits.body_bytes_ = 8ULL * 1024 * 1024;
-    server_ = std::make_shared<http::server<handler>>(executor_, std::move(*socket), handler{shared_from_this()},
-                                                      limits, nullptr, most_connections);
+    server_ = std::make_shared<http::server<handler>>(
+        executor_, std::move(*socket), handler{shared_from_this()}, limits, nullptr, most_connections);
     server_->start();
     return true;
 }
@@ -238,7 +238,8 @@
         }
         const auto now = clock::now();
         if (!events.empty() || now >= end) {
-            co_return answer(200, "{\"events\":[" + events + "],\"at\":" + std::to_string(now_.revision_) + "}");
+            co_return answer(200,
+                             "{\"events\":[" + events + "],\"at\":" + std::to_string(now_.revision_) + "}");
         }
         co_await changed_.wait_for(end - now);
     }
@@ -318,11 +319,12 @@
         co_return held->change(message->body_);
     }
     if (path == "/kv-lease") {
-        const auto length =
-            std::max<std::int64_t>(json::parse(message->body_).as_object().at("ttl-ms").to_number<std::int64_t>(), 1'000);
+        const auto length = std::max<std::int64_t>(
+            json::parse(message->body_).as_object().at("ttl-ms").to_number<std::int64_t>(), 1'000);
         const auto number = ++image.last_lease_;
         image.leases_[number] = {clock::duration{length}, clock::now() + clock::duration{length}};
-        co_return held->answer(200, "{\"lease\":" + std::to_string(number) + ",\"ttl-ms\":" + std::to_string(length) + "}");
+        co_return held->answer(200, "{\"lease\":" + std::to_string(number) +
+                                        ",\"ttl-ms\":" + std::to_string(length) + "}");
     }
     constexpr std::string_view keep{"/kv-keep/"};
     constexpr std::string_view end{"/kv-lease-end/"};
--- a/review/stand_ins_2/store.hpp
+++ b/review/stand_ins_2/store.hpp
@@ -20,8 +20,8 @@
 
 namespace review {
 
-/// A stand-in of the platform's store, as PROTOCOL.md describes it. It keeps copies of itself and can come back
-/// from one of them, as the drill of LETTER-incident.md does. Thread safety: used by one thread only.
+/// A stand-in of the platform's store, as PROTOCOL.md describes it. It keeps copies of itself and can come
+/// back from one of them, as the drill of LETTER-incident.md does. Thread safety: used by one thread only.
 class store : public std::enable_shared_from_this<store> {
 public:
     store(boost::asio::any_io_executor executor, base::endpoint address);
@@ -76,7 +76,8 @@
     };
     struct handler {
         std::shared_ptr<store> store_;
-        boost::asio::awaitable<http::response> operator()(http::request message, std::size_t connection) const;
+        boost::asio::awaitable<http::response> operator()(http::request message,
+                                                          std::size_t connection) const;
     };
 
     [[nodiscard]] http::response answer(unsigned status, const std::string& body) const;
@@ -86,7 +87,8 @@
     [[nodiscard]] std::string item_text(const std::string& key, const item& one) const;
     [[nodiscard]] http::response list(const std::string& prefix, const std::string& after) const;
     [[nodiscard]] http::response change(const std::string& body);
-    boost::asio::awaitable<http::response> watch(std::string prefix, std::uint64_t after, std::int64_t wait_ms);
+    boost::asio::awaitable<http::response> watch(std::string prefix, std::uint64_t after,
+                                                 std::int64_t wait_ms);
 
     boost::asio::any_io_executor executor_;
     base::endpoint address_;
