--- a/review/stand_ins_2/fleet.cpp
+++ b/review/stand_ins_2/fleet.cc
@@ -1,4 +1,4 @@
-#include "fleet.hpp"
+#include "fleet.hh"
 
 #include <http/line_socket.hpp>
 #include <http/listener.hpp>
--- a/review/stand_ins_2/fleet.hpp
+++ b/review/stand_ins_2/fleet.hh
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gate.hpp"
-#include "store.hpp"
+#include "gate.hh"
+#include "store.hh"
 
 #include <stand_ins/session_platform/line_database.hpp>
 
--- a/review/stand_ins_2/gate.cpp
+++ b/review/stand_ins_2/gate.cc
@@ -1,4 +1,4 @@
-#include "gate.hpp"
+#include "gate.hh"
 
 #include <http/sleep.hpp>
 
--- a/review/stand_ins_2/main.cpp
+++ b/review/stand_ins_2/main.cc
@@ -1,7 +1,7 @@
 // Plays one case of the second review: review_case CASE ROOT FOLDER RECORD. Exits with 1 if the rule was
 // broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 the disruption is left out.
 
-#include "fleet.hpp"
+#include "fleet.hh"
 
 #include <http/sleep.hpp>
 
--- a/review/stand_ins_2/store.cpp
+++ b/review/stand_ins_2/store.cc
@@ -1,4 +1,4 @@
-#include "store.hpp"
+#include "store.hh"
 
 #include <adapter/store_messages.hpp>
 #include <http/listener.hpp>
