Proxy: Use what the store shows after a return from a copy only when a leader has confirmed it

A service whose takeover record was undone was never taken over again.

Cause: the copy holds the takeover record before the last one, and a read of the store counted as evidence that no other takeover had begun, so a process that had just started used the replaced primary at once. Daemons that knew the lost record expected its revision in each transaction, which the store never had again.

Change: records state the era in which they were written. After a return no primary lease is renewed until the leader has written the records that the copy lacks and the number of the era. Messages between daemons say whether their records are confirmed, so that daemons need not read the store for that.

--- a/libraries/backends/promotion_choice.cpp
+++ b/libraries/backends/promotion_choice.cpp
@@ -1,6 +1,7 @@
 #include <backends/promotion_choice.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 
 namespace backends {
@@ -19,6 +20,28 @@
     return state.target_ ? candidate.id_ != *state.target_ : candidate.report_.term_ < state.primary_term_;
 }
 
+std::optional<promotion_candidate> find_leading(const std::vector<promotion_candidate>& reports,
+                                                std::uint64_t known_term) {
+    const auto has_earlier_term = [](const auto& first, const auto& second) {
+        return first.report_.term_ < second.report_.term_;
+    };
+    const auto latest = std::max_element(reports.begin(), reports.end(), has_earlier_term);
+    constexpr auto unknown = std::numeric_limits<std::uint64_t>::max();
+    if (latest == reports.end() || (known_term != unknown && latest->report_.term_ < known_term)) {
+        return std::nullopt;
+    }
+    std::optional<promotion_candidate> leading;
+    for (const auto& one : reports) {
+        if (one.report_.role_ == listed_role::primary && one.report_.term_ == latest->report_.term_) {
+            if (leading) {
+                return std::nullopt;
+            }
+            leading = one;
+        }
+    }
+    return leading;
+}
+
 bool is_refusal_final(std::optional<base::clock::duration> since_earlier_request) noexcept {
     return !since_earlier_request || *since_earlier_request > max_promotion_duration;
 }
--- a/libraries/backends/promotion_choice.hpp
+++ b/libraries/backends/promotion_choice.hpp
@@ -71,6 +71,13 @@
 /// primary: its role would be taken as proof that its promotion took effect. Thread safety: pure function.
 [[nodiscard]] promotion_choice choose_promotion(const promotion_state& state);
 
+/// Returns the database that leads a service by what its databases report: the only one that is the primary
+/// of the greatest term that any of them has heard of. Returns nothing if there is none, or if a database has
+/// been the primary of a later term, `known_term`, and does not answer; 0 or the greatest number if the term
+/// of the last known primary is not known. Thread safety: pure function.
+[[nodiscard]] std::optional<promotion_candidate> find_leading(const std::vector<promotion_candidate>& reports,
+                                                              std::uint64_t known_term);
+
 /// Returns whether the refusal of a request shows that the database will not become the primary. It does not
 /// while an earlier request for the same database, of this daemon or of the previous leader, may still take
 /// effect: the platform refuses a second request during that time. `since_earlier_request` is the time since
--- a/libraries/daemons/fleet_message.hpp
+++ b/libraries/daemons/fleet_message.hpp
@@ -66,6 +66,9 @@
     std::uint64_t run_ = 0;
     /// The history of the store that the sender knows.
     base::store_era era_ = base::store_era::unstated;
+    /// Whether the sender's takeover records were confirmed in this history: they lack none that an earlier
+    /// history had.
+    bool is_confirmed_ = false;
     /// In a response: the age of the sender's own last store read; empty if there was none.
     std::optional<base::clock::duration> store_read_age_;
     /// In a response: the run under which the sender knows the requesting daemon as registered; 0 if it does
--- a/libraries/daemons/message_codec.cpp
+++ b/libraries/daemons/message_codec.cpp
@@ -88,8 +88,8 @@
 
 template <typename Archive>
 void transfer(Archive& archive, fields_of<fleet_message_fields> auto& fields) {
-    archive(fields.kind_, fields.number_, fields.sender_, fields.run_, fields.era_, fields.store_read_age_,
-            fields.known_run_, fields.possible_leaders_.candidates_digest_,
+    archive(fields.kind_, fields.number_, fields.sender_, fields.run_, fields.era_, fields.is_confirmed_,
+            fields.store_read_age_, fields.known_run_, fields.possible_leaders_.candidates_digest_,
             fields.possible_leaders_.leader_revision_, fields.registered_daemons_, fields.leader_,
             fields.leader_revision_, fields.records_, fields.records_digest_, fields.grace_,
             fields.active_takeovers_, fields.primaries_, fields.received_.databases_,
--- a/libraries/daemons/primary_lease.cpp
+++ b/libraries/daemons/primary_lease.cpp
@@ -29,6 +29,11 @@
     peer_round_expiry_ = std::max(peer_round_expiry_, end);
 }
 
+void primary_lease::note_store_return() noexcept {
+    own_store_read_.reset();
+    list_confirmed_at_.reset();
+}
+
 void primary_lease::clear() noexcept {
     own_store_read_.reset();
     last_known_store_read_.reset();
--- a/libraries/daemons/primary_lease.hpp
+++ b/libraries/daemons/primary_lease.hpp
@@ -42,6 +42,10 @@
     /// Records that every registered daemon responded to a request sent at `requested_at` or later and has
     /// begun no takeover.
     void note_peer_round(base::clock::time_point requested_at) noexcept;
+    /// Records that the store has come back from a copy: what it shows is evidence only once its records were
+    /// confirmed, and other daemons may be possible leaders than those that this daemon knows. Evidence from
+    /// before stays valid for its time.
+    void note_store_return() noexcept;
     /// Invalidates the lease, because this daemon is not registered.
     void clear() noexcept;
 
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -6,6 +6,7 @@
 #include <base/store_revision.hpp>
 #include <daemons/fencing_token.hpp>
 #include <daemons/fleet_message.hpp>
+#include <daemons/leadership_times.hpp>
 #include <daemons/primary_lease.hpp>
 #include <http/wait_signal.hpp>
 #include <operators/session_settings.hpp>
@@ -18,6 +19,7 @@
 #include <proxy/pending_watch.hpp>
 #include <proxy/quota_control.hpp>
 #include <proxy/session_shared_state.hpp>
+#include <proxy/stored_fleet.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -117,6 +119,41 @@
         base::log_event(events::duty_changed, {{"held", "no"}, {"reason", reason}});
     }
 
+    /// Returns whether the takeover records that this daemon knows are those of the store's present history.
+    /// Until then no primary lease is renewed and no primary is replaced.
+    [[nodiscard]] bool is_history_confirmed() const noexcept { return is_history_confirmed_; }
+
+    /// Records what one read of the fleet's keys shows of the takeover records.
+    void note_records(const stored_fleet& entries) {
+        stored_records_ = entries.records_;
+        stored_confirmed_era_ = entries.confirmed_era_;
+        if (entries.confirmed_era_ != entries.era_) {
+            set_history_confirmed(false);
+        } else if (!is_history_confirmed_) {
+            confirm_history(entries.records_);
+        }
+        for (const auto& record : entries.records_) {
+            adopt(record);
+        }
+    }
+
+    /// Takes over all takeover records of the store's present history, which a leader has confirmed.
+    void confirm_history(const std::vector<daemons::takeover_record>& records) {
+        set_history_confirmed(true);
+        knowledge_.replace_records(records, store_history_.era());
+        publish();
+    }
+
+    /// Returns the daemons that were registered before the store came back from a copy, which may lack them,
+    /// as long as they may have a primary lease from that time.
+    [[nodiscard]] const std::set<std::string>& earlier_daemons(base::clock::time_point now) {
+        const daemons::primary_lease_limits limits;
+        if (now - history_entered_at_ > limits.valid_for_ + limits.peer_rounds_valid_for_) {
+            earlier_daemons_.clear();
+        }
+        return earlier_daemons_;
+    }
+
     /// Records what a peer has received from the store.
     void note_report(const daemons::received_revisions& received, base::clock::time_point now) {
         reported_databases_ = reported_databases_.after_report(received.databases_, now);
@@ -194,6 +231,17 @@
     platform::store_history store_history_;
     /// Send time of the last complete read of the fleet's keys.
     base::clock::time_point fleet_read_requested_at_{};
+    /// When this daemon learned of the store's present history.
+    base::clock::time_point history_entered_at_{};
+    /// The history of the last read of the server list.
+    base::store_era databases_era_ = base::store_era::unstated;
+    /// Whether this daemon led until the store came back from a copy.
+    bool has_led_until_return_ = false;
+    /// Whether this daemon was registered until then and knew the other daemons of that time.
+    bool knew_earlier_daemons_ = false;
+    /// The takeover records and the last confirmed history that the last read of the fleet's keys showed.
+    std::vector<daemons::takeover_record> stored_records_;
+    base::store_era stored_confirmed_era_ = base::store_era::unstated;
     /// Token of a leader that resigned without being able to remove its entry from the store; 0 for none.
     std::uint64_t resigned_token_ = 0;
     /// Number of this daemon's promotion requests without a response.
@@ -227,6 +275,23 @@
                                                         {"now", std::to_string(base::number_of(now))},
                                                         {"source", source},
                                                         {"leader", leadership_ ? "yes" : "no"}});
+        const auto at = base::clock::now();
+        const daemons::primary_lease_limits limits;
+        const auto list_age = primary_lease_.list_age(at);
+        has_led_until_return_ = is_history_confirmed_ && leadership_ &&
+                                at - leadership_->verified_at_ < daemons::leadership_freshness;
+        knew_earlier_daemons_ =
+            is_history_confirmed_ && registered_at_ && list_age && *list_age <= limits.peer_rounds_valid_for_;
+        for (const auto& [address, entry] : knowledge_.registrations()) {
+            earlier_daemons_.insert(address);
+        }
+        earlier_daemons_.erase(address_);
+        history_entered_at_ = at;
+        set_history_confirmed(false);
+        shared_.counters_.store_era_.store(base::number_of(now), std::memory_order_relaxed);
+        shared_.counters_.store_returns_.fetch_add(before == base::store_era::unstated ? 0 : 1,
+                                                   std::memory_order_relaxed);
+        primary_lease_.note_store_return();
         if (leadership_) {
             lose_leadership("the store came back from a copy");
         }
@@ -241,6 +306,11 @@
         }
     }
 
+    void set_history_confirmed(bool is_confirmed) {
+        is_history_confirmed_ = is_confirmed;
+        shared_.counters_.store_history_confirmed_.store(is_confirmed ? 1 : 0, std::memory_order_relaxed);
+    }
+
     static boost::asio::awaitable<void> drain_in_group(table& thread_groups, std::string service,
                                                        std::string database, base::clock::duration grace) {
         // The view with the open record was posted earlier, so the group has received it.
@@ -286,6 +356,8 @@
     }
 
     fleet_view published_view_;
+    bool is_history_confirmed_ = false;
+    std::set<std::string> earlier_daemons_;
     bool was_primary_lease_valid_ = false;
 };
 
--- a/libraries/proxy/events.hpp
+++ b/libraries/proxy/events.hpp
@@ -128,6 +128,10 @@
     "The store came back from an older copy, or its history was learned at the start; what was given up is "
     "given."};
 
+inline constexpr base::event_definition store_history_confirmed{
+    158, "store_history_confirmed", severity::warning,
+    "The leader wrote the takeover records that the store had lost; primaries may be used again."};
+
 /// All definitions above, which a test compares with `docs/events.md`.
 inline constexpr std::array all{&daemon_started,
                                 &daemon_ready,
@@ -170,6 +174,7 @@
                                 &client_closings_dropped,
                                 &session_unauthorised,
                                 &session_revoked,
-                                &store_history_changed};
+                                &store_history_changed,
+                                &store_history_confirmed};
 
 } // namespace proxy::events
--- a/libraries/proxy/fleet_knowledge.cpp
+++ b/libraries/proxy/fleet_knowledge.cpp
@@ -51,6 +51,14 @@
     return true;
 }
 
+void fleet_knowledge::replace_records(const std::vector<daemons::takeover_record>& confirmed,
+                                      base::store_era era) {
+    std::erase_if(records_, [era](const auto& entry) { return entry.second->revision_.era() != era; });
+    for (const auto& record : confirmed) {
+        adopt(record);
+    }
+}
+
 std::optional<daemons::takeover_record> fleet_knowledge::record_of(const std::string& service) const {
     const auto found = records_.find(service);
     return found == records_.end() ? std::nullopt : std::optional{found->second};
--- a/libraries/proxy/fleet_knowledge.hpp
+++ b/libraries/proxy/fleet_knowledge.hpp
@@ -29,6 +29,9 @@
 
     /// Stores a takeover record if it is newer than the known one. Returns whether it is.
     bool adopt(const daemons::takeover_record& record);
+    /// Replaces the takeover records by those that were confirmed in a history of the store, except records
+    /// that were written in this history and are newer.
+    void replace_records(const std::vector<daemons::takeover_record>& confirmed, base::store_era era);
     [[nodiscard]] std::optional<daemons::takeover_record> record_of(const std::string& service) const;
     [[nodiscard]] std::vector<daemons::takeover_record> records() const;
 
--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <iterator>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -115,14 +116,42 @@
             const auto now = base::clock::now();
             const auto age = control_.primary_lease_.age(now);
             const bool is_fresh = age && *age < (own_precedence() ? fresh_lease_age : max_peer_lease_age);
-            const auto list_age = control_.primary_lease_.list_age(now);
-            const bool is_list_fresh = list_age && *list_age < max_list_age;
             const auto max_interval = own_precedence() ? candidate_poll_interval : max_poll_interval;
-            if (is_poll_requested || control_.leadership_ || !is_fresh || !is_list_fresh ||
-                now - last_read_at >= max_interval) {
+            if (is_poll_requested || control_.leadership_ || now - last_read_at >= max_interval) {
                 co_return;
             }
+            if (awaits_confirmation()) {
+                if (now - last_read_at >= candidate_poll_interval) {
+                    co_return;
+                }
+                continue;
+            }
+            if (!is_fresh || !is_list_fresh(now)) {
+                co_return;
+            }
+        }
+    }
+
+    /// Returns whether only the leader can make the store's keys useful to this daemon, which hears of that
+    /// from its peers. So a return of the store does not make the whole fleet read it again and again.
+    [[nodiscard]] bool awaits_confirmation() const {
+        return !control_.is_history_confirmed() && control_.registered_at_ && !own_precedence() &&
+               control_.store_history_.era() != base::store_era::unstated;
+    }
+
+    /// Returns whether the possible leaders were confirmed recently. After the store came back from a copy,
+    /// the daemons read them again at different times.
+    [[nodiscard]] bool is_list_fresh(base::clock::time_point now) {
+        const auto age = control_.primary_lease_.list_age(now);
+        if (age) {
+            return *age < max_list_age;
+        }
+        if (list_due_era_ != control_.store_history_.era()) {
+            list_due_era_ = control_.store_history_.era();
+            std::uniform_int_distribution<std::int64_t> delay{0, max_list_age.count()};
+            list_due_at_ = control_.history_entered_at_ + base::clock::duration{delay(random_)};
         }
+        return control_.registered_at_ && now < list_due_at_;
     }
 
     /// Waits for one poll interval. Returns whether a read was requested before its end.
@@ -140,9 +169,7 @@
         if (failure) {
             co_return std::move(*failure);
         }
-        for (const auto& record : entries.records_) {
-            control_.adopt(record);
-        }
+        control_.note_records(entries);
         const auto own_registration = find_own_registration(entries);
         control_.knowledge_.set_daemons(std::move(entries.registrations_), entries.leader_,
                                         entries.leadership_revision_);
@@ -166,8 +193,10 @@
         control_.fleet_read_requested_at_ = requested_at;
         control_.leader_ = entries.leader_;
         control_.leader_revision_ = entries.leadership_revision_;
-        control_.primary_lease_.note_store_read(requested_at);
-        control_.publish_primary_lease();
+        if (control_.is_history_confirmed()) {
+            control_.primary_lease_.note_store_read(requested_at);
+            control_.publish_primary_lease();
+        }
         co_await maintain_leadership(entries, requested_at);
         co_return true;
     }
@@ -256,14 +285,18 @@
         // A process that started on the leader's address may replace it, because the earlier process has
         // ended. A leader whose entry was overwritten by another writer loses the leadership.
         const bool is_free = !leadership || leader == control_.address_ || has_resigned;
-        if (!is_free || control_.is_draining_) {
+        // The store's history is lower than one that a leader has confirmed: its responses cannot be right,
+        // and the token of a leadership would be too low.
+        const bool is_misread = entries.confirmed_era_ > entries.era_;
+        if (!is_free || control_.is_draining_ || is_misread) {
             polls_without_leader_ = 0;
             co_return;
         }
         // A resignation wakes all daemons at once, and the store's transaction lets only one of the
         // candidates succeed.
         const bool may_acquire = polls_without_leader_ >= polls_before_acquisition() ||
-                                 leader == control_.address_ || (has_resigned && own_precedence());
+                                 leader == control_.address_ || (has_resigned && own_precedence()) ||
+                                 (!control_.is_history_confirmed() && control_.has_led_until_return_);
         ++polls_without_leader_;
         if (may_acquire) {
             // This process itself may still have lent tokens.
@@ -344,6 +377,10 @@
     typename Platform::store leadership_store_;
     typename Platform::store release_store_;
     std::uint32_t polls_without_leader_ = 0;
+    std::mt19937_64 random_{std::random_device{}()};
+    /// When the possible leaders are read again in a history of the store.
+    base::store_era list_due_era_ = base::store_era::unstated;
+    base::clock::time_point list_due_at_{};
 };
 
 } // namespace proxy
--- a/libraries/proxy/peer_exchange.hpp
+++ b/libraries/proxy/peer_exchange.hpp
@@ -126,6 +126,25 @@
         return unstopped_peers;
     }
 
+    /// Asks the daemons of `unheard_daemons` for the takeover records that they know. The caller repeats the
+    /// request.
+    void request_records() {
+        const auto bytes = daemons::encode_message(daemons::fleet_message{make_request(base::clock::now())});
+        for (const auto& address : unheard_daemons()) {
+            send(address, bytes);
+        }
+    }
+
+    /// Returns the daemons that have not answered in the store's present history that they have no takeover
+    /// under way.
+    [[nodiscard]] std::vector<std::string> unheard_daemons() const {
+        auto addresses = peers();
+        if (responders_era_ == control_.store_history_.era()) {
+            std::erase_if(addresses, [this](const auto& address) { return responders_.contains(address); });
+        }
+        return addresses;
+    }
+
     /// Sends the new state of a takeover record to all peers.
     void announce_record(const daemons::takeover_record& record) {
         auto announcement = make_message(daemons::fleet_message_kind::notice);
@@ -186,6 +205,8 @@
         std::set<std::string> responders_;
         /// The possible leaders when the requests were sent. The round counts only if they are unchanged.
         std::vector<std::string> recipients_;
+        /// The history of the store in which it was started.
+        base::store_era era_ = base::store_era::unstated;
     };
     struct pending_request {
         std::uint64_t number_ = 0;
@@ -202,11 +223,17 @@
 
     [[nodiscard]] std::vector<std::string> peers() const {
         std::vector<std::string> addresses;
-        for (const auto& [address, entry] : control_.knowledge_.registrations()) {
+        const auto& registrations = control_.knowledge_.registrations();
+        for (const auto& [address, entry] : registrations) {
             if (address != control_.address_) {
                 addresses.push_back(address);
             }
         }
+        for (const auto& address : control_.earlier_daemons(base::clock::now())) {
+            if (!registrations.contains(address)) {
+                addresses.push_back(address);
+            }
+        }
         return addresses;
     }
 
@@ -234,7 +261,7 @@
     /// Sends one request to every daemon that may have begun a takeover.
     void start_round(base::clock::time_point now) {
         const auto request = make_request(now);
-        peer_round_ = peer_round{request.number_, now, now, {}, round_recipients()};
+        peer_round_ = peer_round{request.number_, now, now, {}, round_recipients(), request.era_};
         const auto bytes = daemons::encode_message(daemons::fleet_message{request});
         for (const auto& address : peer_round_.recipients_) {
             send(address, bytes);
@@ -314,6 +341,7 @@
         message.sender_ = control_.address_;
         message.run_ = control_.run_;
         message.era_ = control_.store_history_.era();
+        message.is_confirmed_ = control_.is_history_confirmed();
         message.received_ = control_.received_;
         return message;
     }
@@ -353,8 +381,11 @@
             return;
         }
         control_.note_report(message->received_, now);
-        for (const auto& record : message->records_) {
-            control_.adopt(record);
+        note_responder(*message);
+        if (message->is_confirmed_ || !control_.is_history_confirmed()) {
+            for (const auto& record : message->records_) {
+                control_.adopt(record);
+            }
         }
         record_observations(*message, now);
         switch (message->kind_) {
@@ -388,6 +419,32 @@
         }
     }
 
+    void note_responder(const daemons::fleet_message_fields& message) {
+        if (responders_era_ != message.era_) {
+            responders_era_ = message.era_;
+            responders_.clear();
+        }
+        const bool has_no_takeover =
+            message.kind_ == daemons::fleet_message_kind::response && message.active_takeovers_.empty();
+        if (has_no_takeover && !control_.is_history_confirmed()) {
+            responders_.insert(message.sender_);
+        }
+    }
+
+    /// Takes over the records of a daemon that knows those which were confirmed, if the response has them
+    /// all.
+    void confirm_history(const daemons::fleet_message_fields& response) {
+        if (!response.is_confirmed_ || control_.is_history_confirmed()) {
+            return;
+        }
+        const auto known = control_.knowledge_.records();
+        if (daemons::digest_of(response.records_) == response.records_digest_) {
+            control_.confirm_history(response.records_);
+        } else if (daemons::digest_of(known) == response.records_digest_) {
+            control_.confirm_history(known);
+        }
+    }
+
     /// Answers a daemon that knows only an earlier history of the store. What it says of the store is not
     /// used: its revisions, and the leadership and the takeovers that rest on them, are of that history.
     void inform_of_history(const daemons::fleet_message_fields& message) {
@@ -459,6 +516,12 @@
         if (response.known_run_ != control_.run_ && !is_fresh_process) {
             return;
         }
+        if (!is_fresh_process) {
+            confirm_history(response);
+        }
+        if (!control_.is_history_confirmed()) {
+            return;
+        }
         if (!is_similar_size(response.registered_daemons_, control_.knowledge_.registrations().size()) &&
             now - control_.fleet_read_requested_at_ > max_list_age) {
             control_.poll_requested_.notify_all();
@@ -473,7 +536,7 @@
             control_.primary_lease_.note_peer(leader_request_.requested_at_, *response.store_read_age_, list);
             control_.publish_primary_lease();
         }
-        if (response.number_ != peer_round_.number_) {
+        if (response.number_ != peer_round_.number_ || peer_round_.era_ != response.era_) {
             return;
         }
         // The records of the response were adopted before, so the lease covers the takeovers known now.
@@ -561,6 +624,9 @@
     std::map<std::string, stop_confirmations> stop_confirmations_;
     /// Revision of the last record for which this daemon stopped using the primary, by service.
     std::map<std::string, base::store_revision> stopped_revisions_;
+    /// The daemons that have answered in a history of the store before its records were confirmed.
+    std::set<std::string> responders_;
+    base::store_era responders_era_ = base::store_era::unstated;
     std::uint64_t last_number_ = 0;
     bool is_suspecting_ = false;
     quota_exchange<Platform> quota_;
--- a/libraries/proxy/session_counters.hpp
+++ b/libraries/proxy/session_counters.hpp
@@ -31,6 +31,12 @@
     std::atomic<std::uint64_t> transactions_aborted_{0};
     /// Changes of entries in the platform's store that cannot be used.
     std::atomic<std::uint64_t> store_entries_ignored_{0};
+    /// The number of the store's history that this daemon knows; 0 for none.
+    std::atomic<std::uint64_t> store_era_{0};
+    /// Changes of that history while the daemon ran.
+    std::atomic<std::uint64_t> store_returns_{0};
+    /// 1 if the takeover records were confirmed in that history, 0 while they are not.
+    std::atomic<std::uint64_t> store_history_confirmed_{0};
     /// Connections that the daemon closed or refused, by reason.
     std::array<std::atomic<std::uint64_t>, callers::closing_reason_count> clients_closed_{};
     /// Internal tasks that ended with an unexpected error.
--- a/libraries/proxy/session_daemon.hpp
+++ b/libraries/proxy/session_daemon.hpp
@@ -10,6 +10,7 @@
 #include <proxy/background_task.hpp>
 #include <proxy/control_context.hpp>
 #include <proxy/fleet_poll.hpp>
+#include <proxy/history_confirmation.hpp>
 #include <proxy/peer_exchange.hpp>
 #include <proxy/session_metrics.hpp>
 #include <proxy/session_worker.hpp>
@@ -74,6 +75,7 @@
         peers_.emplace(control_, std::move(*transport));
         peers_->quota().connect();
         takeovers_.emplace(control_, *peers_);
+        confirmation_.emplace(control_, *peers_);
         if (auto failure = start_servers()) {
             return failure;
         }
@@ -189,6 +191,7 @@
         run_periodically("peer messages", [this] { return peers_->receive(); });
         run_periodically("peer requests", [this] { return peers_->send_requests(); });
         run_periodically("tokens", [this] { return peers_->quota().run(); });
+        run_periodically("store history", [this] { return confirmation_->run(); });
         run_periodically("takeovers", [this] { return takeovers_->watch(); });
         run_periodically("resignation", [this] { return resign_when_store_unreachable(); });
         run_periodically("signals", [this] { return handle_signals(); });
@@ -375,6 +378,7 @@
     fleet_poll<Platform> poll_;
     std::optional<peer_exchange<Platform>> peers_;
     std::optional<takeover_runner<Platform>> takeovers_;
+    std::optional<history_confirmation<Platform>> confirmation_;
     boost::asio::signal_set signals_;
     operators::session_settings last_loaded_settings_;
     bool was_ready_ = false;
--- a/libraries/proxy/session_metrics.cpp
+++ b/libraries/proxy/session_metrics.cpp
@@ -118,6 +118,10 @@
                   value_of(counters.transactions_aborted_));
     append_metric(text, "sassafrasdeal_store_entries_ignored_total", "counter",
                   value_of(counters.store_entries_ignored_));
+    append_metric(text, "sassafrasdeal_store_era", "gauge", value_of(counters.store_era_));
+    append_metric(text, "sassafrasdeal_store_returns_total", "counter", value_of(counters.store_returns_));
+    append_metric(text, "sassafrasdeal_store_history_confirmed", "gauge",
+                  value_of(counters.store_history_confirmed_));
     append_client_metrics(text, shared);
     append_metric(text, "sassafrasdeal_tasks_failed_total", "counter", value_of(counters.tasks_failed_));
     // Remaining duration of the primary lease.
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -78,6 +78,7 @@
             control_.reported_databases_ = control_.reported_databases_.after_read(*start_revision);
             control_.knowledge_.set_databases(listings, base::clock::now());
             control_.has_databases_ = true;
+            control_.databases_era_ = start_revision->era();
             control_.publish();
             co_await watch_databases(*start_revision);
             co_await http::sleep_for(delay_after_watch);
--- a/libraries/proxy/stored_fleet.cpp
+++ b/libraries/proxy/stored_fleet.cpp
@@ -3,7 +3,10 @@
 #include <base/endpoint.hpp>
 #include <proxy/fleet_keys.hpp>
 
+#include <charconv>
+#include <cstdint>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 namespace proxy {
@@ -45,6 +48,17 @@
     return std::nullopt;
 }
 
+std::optional<std::string> decode_confirmed_era(const platform::store_item& item, stored_fleet& fleet) {
+    std::uint64_t number = 0;
+    const auto* const end = item.value_.data() + item.value_.size();
+    const auto [rest, failure] = std::from_chars(item.value_.data(), end, number);
+    if (failure != std::errc{} || rest != end || number == 0 || number > base::max_store_era) {
+        return "not a number of the store's history";
+    }
+    fleet.confirmed_era_ = static_cast<base::store_era>(number);
+    return std::nullopt;
+}
+
 } // namespace
 
 std::optional<std::string> decode_item(const platform::store_item& item, stored_fleet& fleet) {
@@ -58,6 +72,9 @@
     if (key == fleet_keys::leadership) {
         return decode_leadership(item, fleet);
     }
+    if (key == fleet_keys::confirmed_era) {
+        return decode_confirmed_era(item, fleet);
+    }
     return "unknown key";
 }
 
--- a/libraries/proxy/stored_fleet.hpp
+++ b/libraries/proxy/stored_fleet.hpp
@@ -16,6 +16,8 @@
 struct stored_fleet {
     /// The history of the store that was read.
     base::store_era era_ = base::store_era::unstated;
+    /// The last history whose takeover records a leader has confirmed; unstated if there is none.
+    base::store_era confirmed_era_ = base::store_era::unstated;
     std::map<std::string, daemons::registration> registrations_;
     std::vector<daemons::takeover_record> records_;
     /// The leader's entry, decoded as the registration of that daemon. Empty if there is none or if its value
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -2,11 +2,11 @@
 
 #include <backends/primary_promoter.hpp>
 #include <backends/promotion_choice.hpp>
-#include <backends/statement_connection.hpp>
 #include <base/clock.hpp>
 #include <base/event.hpp>
 #include <base/store_revision.hpp>
 #include <daemons/fencing_token.hpp>
+#include <daemons/leadership_times.hpp>
 #include <daemons/lease_expiry.hpp>
 #include <daemons/takeover_claim.hpp>
 #include <daemons/takeover_decision.hpp>
@@ -14,6 +14,7 @@
 #include <http/sleep.hpp>
 #include <platform/store_transaction.hpp>
 #include <proxy/control_context.hpp>
+#include <proxy/database_request.hpp>
 #include <proxy/fleet_keys.hpp>
 #include <proxy/peer_exchange.hpp>
 
@@ -40,7 +41,7 @@
 public:
     takeover_runner(control_context<Platform>& control, peer_exchange<Platform>& peers)
         : control_{control}, peers_{peers}, promoter_{control.settings_->promotion_address_,
-                                                      promote_timeout} {}
+                                                      daemons::promotion_timeout} {}
 
     /// Monitors the primaries of all services and starts the takeovers that they need, until the process
     /// ends.
@@ -70,7 +71,6 @@
 
 private:
     using protocol = typename Platform::protocol;
-    using connection = backends::statement_connection<protocol>;
 
     enum class takeover_reason : std::uint8_t { planned, failed, demoted, unfinished };
 
@@ -100,7 +100,8 @@
     };
 
     [[nodiscard]] bool is_leader(base::clock::time_point now) const {
-        return control_.leadership_ && now - control_.leadership_->verified_at_ < leadership_freshness;
+        return control_.leadership_ && control_.is_history_confirmed() &&
+               now - control_.leadership_->verified_at_ < daemons::leadership_freshness;
     }
 
     [[nodiscard]] base::store_revision known_revision(const std::string& service) const {
@@ -137,9 +138,8 @@
         if (decision == daemons::takeover_decision::finish) {
             // A promotion request of the previous leader may be in flight for as long as that leader relied
             // on its last read of the store.
-            const bool has_to_wait =
-                !control_.leadership_->has_predecessor_resigned_ &&
-                now - control_.leadership_->acquired_at_ < leadership_freshness + promote_timeout;
+            const bool has_to_wait = !control_.leadership_->has_predecessor_resigned_ &&
+                                     now - control_.leadership_->acquired_at_ < daemons::max_late_promotion;
             if (has_to_wait) {
                 return false;
             }
@@ -218,7 +218,7 @@
                                                           base::clock::time_point now) {
         const bool is_unknown =
             view.primary_state_ == backends::primary_state::unknown && !view.databases_.empty();
-        if (!is_unknown || !control_.leadership_) {
+        if (!is_unknown || !control_.leadership_ || !control_.is_history_confirmed()) {
             unknown_since_.erase(service);
             return std::nullopt;
         }
@@ -468,8 +468,12 @@
         if (!control_.registered_at_ || !control_.leadership_) {
             return false;
         }
-        const daemons::takeover_times times{current.recorded_at_, *control_.registered_at_,
-                                            control_.candidate_since_, control_.leadership_->acquired_at_};
+        daemons::takeover_times times{current.recorded_at_, *control_.registered_at_,
+                                      control_.candidate_since_, control_.leadership_->acquired_at_};
+        if (!control_.has_led_until_return_) {
+            // Daemons of an earlier history of the store may not have known this one as a possible leader.
+            times.registered_at_ = std::max(times.registered_at_, control_.history_entered_at_);
+        }
         return now >= daemons::latest_lease_expiry(times) + lease_expiry_margin;
     }
 
@@ -496,25 +500,10 @@
         co_return is_replica;
     }
 
-    /// Sends one request to a database on a separate connection. Returns nothing when the database does not
-    /// answer in time or its response cannot be decoded.
+    /// Sends one request to a database, see `ask_database`.
     boost::asio::awaitable<std::optional<backends::database_report>>
     send_request(backends::database_listing database, std::string message) {
-        backends::open_failure failure;
-        backends::connection_timeouts times;
-        times.open_timeout_ = database_timeout;
-        const auto opened =
-            co_await connection::open(control_.context_.get_executor(), database, {}, times, failure);
-        if (!opened) {
-            co_return std::nullopt;
-        }
-        const auto deadline = base::clock::now() + database_timeout;
-        const auto response = co_await opened->run(std::move(message), 1, deadline);
-        opened->close();
-        if (response.status_ != backends::statement_status::done || response.rows_.empty()) {
-            co_return std::nullopt;
-        }
-        co_return protocol::decode_report(response.rows_.front());
+        co_return co_await ask_database<protocol>(control_.context_, std::move(database), std::move(message));
     }
 
     /// Requests the status of every database of a service that may become its primary.
@@ -735,9 +724,6 @@
     static constexpr base::clock::duration monitoring_interval{200};
     static constexpr base::clock::duration suspicion_interval{60};
     static constexpr base::clock::duration store_timeout{700};
-    static constexpr base::clock::duration promote_timeout{600};
-    // A leader sends no promotion requests on the basis of an older read of the store.
-    static constexpr base::clock::duration leadership_freshness{1'600};
     static constexpr base::clock::duration lost_response_timeout{3'000};
     // Long enough for a transaction of a dozen statements, and well below the time that a database takes to
     // leave.
@@ -749,7 +735,6 @@
     static constexpr base::clock::duration stop_repeat_interval{90};
     // Covers timers that fire late.
     static constexpr base::clock::duration lease_expiry_margin{300};
-    static constexpr base::clock::duration database_timeout{300};
     static constexpr base::clock::duration catch_up_timeout{1'500};
     static constexpr base::clock::duration promotion_poll_interval{60};
     static constexpr base::clock::duration promotion_effect_timeout{3'000};
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -507,4 +507,27 @@
     EXPECT_NEAR(static_cast<double>(estimate.wait_for(8, 4).count()), 40.0, 2.0);
 }
 
+backends::promotion_candidate report_of(std::string id, backends::listed_role role, std::uint64_t term) {
+    return {std::move(id), {role, term, base::log_position{term, 5}}};
+}
+
+// Guards against a replaced primary that is confirmed because it still reports the role, and against a choice
+// between databases that cannot be told apart.
+TEST(find_leading, TakesThePrimaryOfTheLatestTerm) {
+    using backends::find_leading;
+    using backends::listed_role;
+    const auto old_primary = report_of("i-0", listed_role::primary, 2);
+    const auto new_primary = report_of("i-1", listed_role::primary, 3);
+    const auto follower = report_of("i-2", listed_role::replica, 3);
+    const auto leading = find_leading({old_primary, new_primary, follower}, 2);
+    ASSERT_TRUE(leading);
+    EXPECT_EQ(leading->id_, "i-1");
+    // The primary that the follower has heard of does not answer.
+    EXPECT_FALSE(find_leading({old_primary, follower}, 2));
+    EXPECT_FALSE(find_leading({new_primary, report_of("i-3", listed_role::primary, 3)}, 2));
+    // A primary of a later term is known.
+    EXPECT_FALSE(find_leading({old_primary, new_primary}, 4));
+    EXPECT_FALSE(find_leading({}, 0));
+}
+
 } // namespace
--- a/tests/daemons/test_lease.cpp
+++ b/tests/daemons/test_lease.cpp
@@ -309,4 +309,30 @@
     EXPECT_FALSE(is_current(claim, revision_at(25), revision_at(20)));
 }
 
+// Guards against a record that a daemon of one history of the store wrote and that is taken for one of
+// another.
+TEST(takeover_record, StatesTheHistoryInWhichItWasWritten) {
+    const daemons::takeover_record written{daemons::takeover_record_fields{
+        "svc", daemons::takeover_phase::settled, "i-1", "i-2", {base::store_era{3}, 0}, 4}};
+    const auto value = daemons::encode_record(written);
+    const auto read_later = daemons::decode_record("svc", value, {base::store_era{5}, 17});
+    ASSERT_TRUE(read_later);
+    EXPECT_EQ((*read_later)->revision_, (base::store_revision{base::store_era{3}, 17}));
+    EXPECT_FALSE(daemons::decode_record("svc", value, {base::store_era{2}, 17}));
+}
+
+// Guards against evidence of an earlier history of the store that is extended by peers after its return, and
+// against callers who lose the primary as soon as a daemon learns of it.
+TEST(primary_lease, KeepsButDoesNotExtendEvidenceFromBeforeAReturnOfTheStore) {
+    daemons::primary_lease lease{{ms(2'500), ms(12'000)}};
+    lease.note_store_read(at(1'000));
+    lease.note_store_return();
+    EXPECT_EQ(lease.expiry(), at(3'500));
+    EXPECT_FALSE(lease.store_age(at(1'100)));
+    lease.note_peer_round(at(3'000));
+    EXPECT_EQ(lease.expiry(), at(3'500));
+    lease.note_store_read(at(3'200));
+    EXPECT_EQ(lease.expiry(), at(5'700));
+}
+
 } // namespace
--- a/tests/proxy/test_fleet_knowledge.cpp
+++ b/tests/proxy/test_fleet_knowledge.cpp
@@ -148,4 +148,26 @@
     EXPECT_EQ(knowledge.possible_leaders().back(), other->first);
 }
 
+daemons::takeover_record record_of_era(std::uint64_t era, std::uint64_t number, std::string chosen) {
+    return daemons::takeover_record{daemons::takeover_record_fields{"svc",
+                                                                    daemons::takeover_phase::settled,
+                                                                    "i-1",
+                                                                    std::move(chosen),
+                                                                    {base::store_era{era}, number},
+                                                                    2}};
+}
+
+// Guards against a record of an earlier history that hides the one that was confirmed, so that the service is
+// never taken over again.
+TEST(fleet_knowledge, ReplacesItsRecordsByConfirmedOnes) {
+    auto knowledge = make_knowledge();
+    EXPECT_TRUE(knowledge.adopt(record_of_era(1, 82, "i-2")));
+    EXPECT_FALSE(knowledge.adopt(record_of_era(1, 40, "i-1")));
+    knowledge.replace_records({record_of_era(1, 40, "i-1")}, base::store_era{2});
+    EXPECT_EQ(knowledge.record_of("svc"), record_of_era(1, 40, "i-1"));
+    EXPECT_TRUE(knowledge.adopt(record_of_era(2, 30, "i-2")));
+    knowledge.replace_records({record_of_era(1, 40, "i-1")}, base::store_era{2});
+    EXPECT_EQ(knowledge.record_of("svc"), record_of_era(2, 30, "i-2"));
+}
+
 } // namespace
--- a/tests/proxy/test_store_return.cpp
+++ b/tests/proxy/test_store_return.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -13,6 +15,7 @@
 namespace {
 
 using tests::eventually;
+using tests::session_client;
 using tests::session_fleet;
 
 // The port range of this file, which follows that of test_session_daemon.cpp.
@@ -39,16 +42,20 @@
 /// Replaces a primary as planned. Returns whether the store then holds a record of the settled takeover.
 [[nodiscard]] bool replace_primary(session_fleet& fleet, std::size_t number) {
     const auto replaced = R"("replaced":"i-)" + std::to_string(number) + '"';
-    fleet.run_on_stand_in_thread([number](session_fleet& fixture) {
+    std::size_t earlier_promotions = 0;
+    fleet.run_on_stand_in_thread([number, &earlier_promotions](session_fleet& fixture) {
+        earlier_promotions = fixture.promotions().size();
         for (std::size_t other = 0; other < 3; ++other) {
             fixture.database(other).set_position(fixture.database(number).position());
         }
         fixture.list_database(number, true, true);
     });
-    const bool is_settled = eventually([&fleet, &replaced] {
+    const bool is_settled = eventually([&fleet, &replaced, earlier_promotions] {
         std::string record;
-        fleet.run_on_stand_in_thread([&record](session_fleet& fixture) {
-            record = fixture.store().value_of("sassafrasdeal/takeovers/svc");
+        fleet.run_on_stand_in_thread([&record, earlier_promotions](session_fleet& fixture) {
+            if (fixture.promotions().size() > earlier_promotions) {
+                record = fixture.store().value_of("sassafrasdeal/takeovers/svc");
+            }
         });
         return record.find("settled") != std::string::npos && record.find(replaced) != std::string::npos;
     });
@@ -112,4 +119,93 @@
         << tokens.front() << " before " << tokens.back();
 }
 
+/// Reads through a daemon for five seconds. Returns the ids of the databases that answered.
+std::set<std::string> read_from(session_fleet& fleet, std::size_t daemon) {
+    std::set<std::string> databases;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{5};
+    while (std::chrono::steady_clock::now() < end) {
+        try {
+            session_client client{fleet.client_port(daemon), "payouts"};
+            const auto response = client.run("FETCH a");
+            if (response.starts_with("ROW ")) {
+                databases.insert(response.substr(4, 3));
+            }
+        } catch (const boost::system::system_error&) {
+            // The daemon does not listen yet.
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    return databases;
+}
+
+/// Replaces the primary twice. The store's copy, to which it is about to return, lacks the second takeover.
+/// Returns the id of the last primary.
+std::string lose_a_takeover(session_fleet& fleet) {
+    EXPECT_TRUE(replace_primary(fleet, 0));
+    const auto first = number_of_promoted(fleet);
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) { fixture.store().take_copy(); });
+    EXPECT_TRUE(replace_primary(fleet, first));
+    return "i-" + std::to_string(number_of_promoted(fleet));
+}
+
+void return_to_copy(session_fleet& fleet) {
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) { fixture.store().return_to_copy(); });
+}
+
+// Guards against reads at a replaced primary: the copy from which the store came back lacks the last
+// takeover, and a daemon that has just started used the primary that it names (review/6, STALE).
+TEST(store_return, StartingDaemonUsesNoReplacedPrimary) {
+    session_fleet fleet{port_of_test(1)};
+    start(fleet);
+    const auto primary = lose_a_takeover(fleet);
+    return_to_copy(fleet);
+    const auto daemon = fleet.start_daemon();
+    EXPECT_EQ(read_from(fleet, daemon), std::set<std::string>{primary});
+}
+
+// Guards against the same when no daemon is left that knew of the takeover: only the databases show it.
+TEST(store_return, BelievesTheDatabasesWhenNoDaemonKnowsATakeover) {
+    session_fleet fleet{port_of_test(2)};
+    start(fleet);
+    const auto primary = lose_a_takeover(fleet);
+    return_to_copy(fleet);
+    end_daemons(fleet);
+    const auto daemon = fleet.start_daemon();
+    EXPECT_EQ(read_from(fleet, daemon), std::set<std::string>{primary});
+}
+
+// Guards against a service that is never taken over again: its daemons expect the revision of a record that
+// the store no longer has (the third effect of review/7, DRAIN).
+TEST(store_return, ReplacesAPrimaryWhoseTakeoverTheCopyLacks) {
+    session_fleet fleet{port_of_test(3)};
+    start(fleet);
+    const auto primary = lose_a_takeover(fleet);
+    return_to_copy(fleet);
+    EXPECT_TRUE(replace_primary(fleet, number_of_promoted(fleet)));
+    EXPECT_NE("i-" + std::to_string(number_of_promoted(fleet)), primary);
+}
+
+// Guards against a leader that goes on in an earlier history: it was suspended while the store came back
+// twice.
+TEST(store_return, SuspendedLeaderOfAnEarlierHistoryPromotesNothing) {
+    session_fleet fleet{port_of_test(4)};
+    start(fleet);
+    const auto primary = lose_a_takeover(fleet);
+    const auto leader = fleet.leader();
+    ASSERT_TRUE(leader);
+    fleet.signal_daemon(*leader, SIGSTOP);
+    return_to_copy(fleet);
+    std::this_thread::sleep_for(std::chrono::milliseconds{700});
+    return_to_copy(fleet);
+    ASSERT_TRUE(eventually([&fleet, &leader] { return fleet.leader() && fleet.leader() != leader; }));
+    fleet.signal_daemon(*leader, SIGCONT);
+    EXPECT_EQ(read_from(fleet, *leader), std::set<std::string>{primary});
+    EXPECT_TRUE(replace_primary(fleet, number_of_promoted(fleet)));
+    std::vector<std::uint64_t> tokens;
+    fleet.run_on_stand_in_thread(
+        [&tokens](session_fleet& fixture) { tokens = fixture.store().promotion_tokens(); });
+    EXPECT_TRUE(std::is_sorted(tokens.begin(), tokens.end()));
+    EXPECT_GT(tokens.back(), 3'000'000'000'000U);
+}
+
 } // namespace
--- a/tests/proxy/test_stored_fleet.cpp
+++ b/tests/proxy/test_stored_fleet.cpp
@@ -125,4 +125,16 @@
     EXPECT_TRUE(entries.report("servers/0", {base::store_era{1}, 1}, "no JSON", now));
 }
 
+// Guards against evidence from a store whose records nobody has confirmed since it came back from a copy.
+TEST(stored_fleet, ReadsTheConfirmedHistory) {
+    stored_fleet fleet;
+    EXPECT_FALSE(decode("sassafrasdeal/era", "7", fleet));
+    EXPECT_EQ(fleet.confirmed_era_, base::store_era{7});
+    for (const auto* odd : {"", "0", "-1", "7 ", "x", "9000001", "18446744073709551616"}) {
+        stored_fleet other;
+        EXPECT_TRUE(decode("sassafrasdeal/era", odd, other)) << odd;
+        EXPECT_EQ(other.confirmed_era_, base::store_era::unstated);
+    }
+}
+
 } // namespace
