Soak, Proxy: Play returns of the store, and let candidates read it again at once

Found with it: after a second return, two to four seconds after the first, a new leader waited 2.5 s although all daemons had answered, because it had not read the list of daemons again in between; candidates for the leadership now read it at once.

--- a/libraries/proxy/fleet_poll.hpp
+++ b/libraries/proxy/fleet_poll.hpp
@@ -140,12 +140,15 @@
     }
 
     /// Returns whether the possible leaders were confirmed recently. After the store came back from a copy,
-    /// the daemons read them again at different times.
+    /// the candidates for the leadership read them at once, and the other daemons at different times.
     [[nodiscard]] bool is_list_fresh(base::clock::time_point now) {
         const auto age = control_.primary_lease_.list_age(now);
         if (age) {
             return *age < max_list_age;
         }
+        if (own_precedence()) {
+            return false;
+        }
         if (list_due_era_ != control_.store_history_.era()) {
             list_due_era_ = control_.store_history_.era();
             std::uniform_int_distribution<std::int64_t> delay{0, max_list_age.count()};
--- a/stand_ins/session_platform/store_server.cpp
+++ b/stand_ins/session_platform/store_server.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 #include <boost/url/parse.hpp>
 
+#include <deque>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -47,6 +48,8 @@
     std::optional<std::string> value_;
 };
 
+constexpr base::clock::duration kept_copies_duration{15'000};
+
 constexpr std::string_view keep_path = "/kv-keep/";
 
 http::response answer(unsigned status, const json::object& body) {
@@ -77,8 +80,7 @@
 struct store_server::state : store_contents {
     std::uint64_t calls_ = 0;
     std::uint64_t era_ = 0;
-    store_contents copy_;
-    base::clock::time_point copied_at_{};
+    std::deque<std::pair<base::clock::time_point, store_contents>> copies_;
     std::vector<std::uint64_t> promotion_tokens_;
     bool is_refusing_ = false;
     bool is_silent_ = false;
@@ -213,12 +215,22 @@
         return answer(status_ok, {{"revision", revision_}});
     }
 
-    void return_to_copy() {
+    void take_copy(base::clock::time_point now) {
+        copies_.emplace_back(now, *this);
+        while (copies_.front().first + kept_copies_duration < now) {
+            copies_.pop_front();
+        }
+    }
+
+    void return_to_copy(base::clock::time_point now, base::clock::duration age) {
+        while (copies_.size() > 1 && copies_.back().first + age > now) {
+            copies_.pop_back();
+        }
         const auto latest = items_;
-        const auto now = base::clock::now();
-        static_cast<store_contents&>(*this) = copy_;
+        const auto& [copied_at, copy] = copies_.back();
+        static_cast<store_contents&>(*this) = copy;
         for (auto& [number, lease] : leases_) {
-            lease.end_ += now - copied_at_;
+            lease.end_ += now - copied_at;
         }
         ++era_;
         for (const auto& [key, item] : latest) {
@@ -316,12 +328,11 @@
 }
 
 void store_server::take_copy() {
-    state_->copy_ = *state_;
-    state_->copied_at_ = base::clock::now();
+    state_->take_copy(base::clock::now());
 }
 
-void store_server::return_to_copy() {
-    state_->return_to_copy();
+void store_server::return_to_copy(base::clock::duration age) {
+    state_->return_to_copy(base::clock::now(), age);
 }
 
 const std::vector<std::uint64_t>& store_server::promotion_tokens() const {
--- a/stand_ins/session_platform/store_server.hpp
+++ b/stand_ins/session_platform/store_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/clock.hpp>
 #include <base/endpoint.hpp>
 #include <http/message.hpp>
 #include <http/server.hpp>
@@ -49,12 +50,14 @@
     /// States a history in each response from now on, beginning with `era`. Without this call none is stated.
     void state_era(std::uint64_t era);
     [[nodiscard]] std::uint64_t era() const;
-    /// Remembers the store's contents, with its leases, revisions and history.
+    /// Remembers the store's contents, with its leases, revisions and history. Copies of the last 15 s are
+    /// kept.
     void take_copy();
-    /// Goes back to the last copy, in the next era. Leases have the time left that they had then. The keys
-    /// under `op/` and `servers/` keep their present values, as if the operator and the databases had written
-    /// them again. Precondition: a copy was taken, and the store states its era.
-    void return_to_copy();
+    /// Goes back to the newest copy that is at least `age` old, or the oldest one, in the next era. Leases
+    /// have the time left that they had then. The keys under `op/` and `servers/` keep their present values,
+    /// as if the operator and the databases had written them again. Later copies are discarded. Precondition:
+    /// a copy was taken, and the store states its era.
+    void return_to_copy(base::clock::duration age = base::clock::duration{0});
     /// Returns the fencing tokens of the promotion calls, in order.
     [[nodiscard]] const std::vector<std::uint64_t>& promotion_tokens() const;
 
--- a/tests/soak/test_fault_schedule.cpp
+++ b/tests/soak/test_fault_schedule.cpp
@@ -26,6 +26,27 @@
                              [](const auto& left, const auto& right) { return left.at_ < right.at_; }));
 }
 
+// Guards against a soak that no longer plays returns of the store, or not two within a second.
+TEST(store_returns, ComeAloneAndInSeries) {
+    std::set<std::size_t> counts;
+    bool is_any_pair_close = false;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        const auto returns = soak::make_store_returns(seed, length);
+        EXPECT_EQ(returns, soak::make_store_returns(seed, length));
+        counts.insert(returns.size());
+        for (std::size_t number = 1; number < returns.size(); ++number) {
+            const auto gap = returns[number].at_ - returns[number - 1].at_ - returns[number - 1].away_;
+            EXPECT_GE(gap, base::clock::duration{0});
+            is_any_pair_close = is_any_pair_close || gap <= base::clock::duration{1'000};
+        }
+        for (const auto& one : returns) {
+            EXPECT_LT(one.at_ + one.away_, length);
+        }
+    }
+    EXPECT_EQ(counts, (std::set<std::size_t>{0, 1, 2, 3}));
+    EXPECT_TRUE(is_any_pair_close);
+}
+
 // Guards against a kind of fault that no seed plays.
 TEST(fault_schedule, PlaysEveryKindWithinAFewSeeds) {
     std::set<soak::fault_kind> kinds;
--- a/utilities/sassafras_soak/fault_schedule.cpp
+++ b/utilities/sassafras_soak/fault_schedule.cpp
@@ -41,6 +41,14 @@
 constexpr base::clock::rep shortest_key_gap_ms = 50;
 constexpr base::clock::rep longest_key_gap_ms = 1'500;
 
+constexpr std::uint64_t most_returns = 3;
+constexpr base::clock::rep longest_away_ms = 1'500;
+constexpr base::clock::rep longest_copy_age_ms = 8'000;
+constexpr base::clock::rep longest_short_gap_of_returns_ms = 1'000;
+constexpr base::clock::rep longest_gap_of_returns_ms = 6'000;
+// Draws the returns apart from the faults of the same seed.
+constexpr std::uint64_t numbers_of_returns = 0x9E3779B97F4A7C15;
+
 class random_numbers {
 public:
     explicit random_numbers(std::uint64_t seed) : engine_{seed} {}
@@ -84,6 +92,27 @@
     return schedule;
 }
 
+std::vector<store_return> make_store_returns(std::uint64_t seed, base::clock::duration length) {
+    random_numbers random{seed ^ numbers_of_returns};
+    std::vector<store_return> returns;
+    const auto count = random.below(most_returns + 1);
+    auto at = random.between(0, length.count() / 2);
+    for (std::uint64_t number = 0; number < count; ++number) {
+        store_return one;
+        one.at_ = at;
+        one.away_ = random.between(0, longest_away_ms);
+        one.age_ = random.between(0, longest_copy_age_ms);
+        if (at + one.away_ >= length) {
+            break;
+        }
+        returns.push_back(one);
+        const auto longest_gap =
+            random.below(2) == 0 ? longest_short_gap_of_returns_ms : longest_gap_of_returns_ms;
+        at += one.away_ + random.between(0, longest_gap);
+    }
+    return returns;
+}
+
 std::vector<key_change> make_key_changes(std::uint64_t seed, base::clock::duration length, std::uint32_t keys,
                                          std::uint32_t tenants) {
     random_numbers random{~seed};
--- a/utilities/sassafras_soak/fault_schedule.hpp
+++ b/utilities/sassafras_soak/fault_schedule.hpp
@@ -61,6 +61,21 @@
 /// Precondition: `length` is several seconds. Thread safety: pure.
 [[nodiscard]] std::vector<scheduled_fault> make_schedule(std::uint64_t seed, base::clock::duration length);
 
+/// The store is away for a moment and comes back from an older copy of its contents.
+struct store_return {
+    /// Since the start of the traffic.
+    base::clock::duration at_{0};
+    base::clock::duration away_{0};
+    /// The age of the copy when the store goes away.
+    base::clock::duration age_{0};
+
+    friend auto operator<=>(const store_return&, const store_return&) = default;
+};
+
+/// Returns up to three returns of the store in the order of their times, some within a second. They come
+/// beside the faults of `make_schedule`, and their numbers are drawn apart from it. Thread safety: pure.
+[[nodiscard]] std::vector<store_return> make_store_returns(std::uint64_t seed, base::clock::duration length);
+
 /// From a time on, a key belongs to another tenant, or to none.
 struct key_change {
     /// Since the start of the traffic.
--- a/utilities/sassafras_soak/soak_run.cpp
+++ b/utilities/sassafras_soak/soak_run.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <cstddef>
 #include <ostream>
 #include <utility>
 
@@ -35,6 +37,7 @@
 constexpr base::clock::duration settling{1'500};
 constexpr base::clock::duration long_lag{2'500};
 constexpr base::clock::duration usual_lag{20};
+constexpr base::clock::duration copy_interval{200};
 constexpr base::clock::duration pause_between_stops{600};
 constexpr std::size_t max_line_bytes = 65'536;
 
@@ -108,6 +111,7 @@
     };
     store_ = std::make_unique<stand_ins::store_server>(context_.get_executor(), order);
     store_->set_ending_leases(true);
+    store_->state_era(first_era);
     if (!store_->listen({"127.0.0.1", port(store_offset)})) {
         return false;
     }
@@ -218,6 +222,32 @@
     }
 }
 
+asio::awaitable<void> soak_run::copy_store() {
+    for (;;) {
+        store_->take_copy();
+        co_await http::sleep_for(copy_interval);
+    }
+}
+
+asio::awaitable<void> soak_run::return_store(base::clock::time_point started_at, std::ostream& progress) {
+    for (const auto& one : make_store_returns(settings_.seed_, settings_.length_)) {
+        co_await http::sleep_for(started_at + one.at_ - base::clock::now());
+        const bool is_outage = settings_.store_absence_ == store_absence::outage;
+        progress << "  " << one.at_.count() << " ms: " << (is_outage ? "store_outage" : "store_return")
+                 << " after " << one.away_.count() << " ms from a copy that was " << one.age_.count()
+                 << " ms old\n";
+        for (std::uint32_t number = 0; number < daemons_.size(); ++number) {
+            note_lost_contact(number, one.away_);
+        }
+        store_->set_refusing(true);
+        co_await http::sleep_for(one.away_);
+        if (!is_outage) {
+            store_->return_to_copy(one.age_ + one.away_);
+        }
+        store_->set_refusing(false);
+    }
+}
+
 void soak_run::note_lost_contact(std::uint32_t daemon, base::clock::duration length) {
     const auto now = base::clock::now();
     keys_.lost_.push_back({daemon, now, now + length});
@@ -237,6 +267,7 @@
 
 asio::awaitable<void> soak_run::conduct(std::ostream& progress) {
     asio::co_spawn(context_, keep_daemons_running(), asio::detached);
+    asio::co_spawn(context_, copy_store(), asio::detached);
     co_await http::sleep_for(warm_up);
     for (std::uint32_t number = 0; number < settings_.clients_; ++number) {
         clients_.push_back(std::make_unique<soak_client>(plan_, number, history_));
@@ -246,7 +277,11 @@
     if (settings_.tenants_ > 0) {
         asio::co_spawn(context_, change_keys(started_at), asio::detached);
     }
-    const auto schedule = make_schedule(settings_.seed_, settings_.length_);
+    if (settings_.store_absence_ != store_absence::none) {
+        asio::co_spawn(context_, return_store(started_at, progress), asio::detached);
+    }
+    const auto schedule = settings_.has_faults_ ? make_schedule(settings_.seed_, settings_.length_)
+                                                : std::vector<scheduled_fault>{};
     for (const auto& fault : schedule) {
         co_await http::sleep_for(started_at + fault.at_ - base::clock::now());
         progress << "  " << fault.at_.count() << " ms: " << name_of(fault.kind_) << " " << fault.target_
@@ -475,6 +510,21 @@
     }
 }
 
+base::clock::duration soak_run::longest_pause_of_writes() const {
+    std::vector<base::clock::time_point> times;
+    for (const auto& one : history_.writes_) {
+        if (one.outcome_ == write_outcome::acknowledged) {
+            times.push_back(one.answered_at_);
+        }
+    }
+    std::sort(times.begin(), times.end());
+    base::clock::duration longest{0};
+    for (std::size_t index = 1; index < times.size(); ++index) {
+        longest = std::max(longest, times[index] - times[index - 1]);
+    }
+    return longest;
+}
+
 std::map<std::string, service_log> soak_run::logs() const {
     std::map<std::string, service_log> all;
     for (std::size_t number = 0; number < groups_.size(); ++number) {
--- a/utilities/sassafras_soak/soak_run.hpp
+++ b/utilities/sassafras_soak/soak_run.hpp
@@ -20,6 +20,14 @@
 
 namespace soak {
 
+/// What the times of `make_store_returns` mean.
+enum class store_absence : std::uint8_t {
+    none,
+    /// The store is away and loses nothing.
+    outage,
+    returns_from_copy,
+};
+
 struct soak_settings {
     std::string program_;
     /// For the daemons' settings and logs; made by the caller.
@@ -30,6 +38,8 @@
     std::uint32_t clients_ = 24;
     /// 0: the configuration has no tenants.
     std::uint32_t tenants_ = 0;
+    bool has_faults_ = true;
+    store_absence store_absence_ = store_absence::returns_from_copy;
     std::uint64_t seed_ = 0;
     base::clock::duration length_{0};
 
@@ -47,8 +57,15 @@
     /// happen.
     [[nodiscard]] std::vector<std::string> play(std::ostream& progress);
     [[nodiscard]] const client_history& history() const noexcept { return history_; }
+    /// Returns the longest time in which no write of any service was acknowledged. Precondition: the run was
+    /// played.
+    [[nodiscard]] base::clock::duration longest_pause_of_writes() const;
+    /// Returns how many times the store came back from a copy. Precondition: the run was played.
+    [[nodiscard]] std::uint64_t store_returns() const { return store_->era() - first_era; }
 
 private:
+    static constexpr std::uint64_t first_era = 1;
+
     [[nodiscard]] bool start_all();
     void start_daemons();
     void publish_configuration();
@@ -56,6 +73,10 @@
     [[nodiscard]] std::string tenants_text() const;
     void set_holder(const std::string& key, std::uint32_t tenant);
     [[nodiscard]] boost::asio::awaitable<void> change_keys(base::clock::time_point started_at);
+    /// Lets the store keep copies until the process ends.
+    [[nodiscard]] boost::asio::awaitable<void> copy_store();
+    [[nodiscard]] boost::asio::awaitable<void> return_store(base::clock::time_point started_at,
+                                                            std::ostream& progress);
     /// Notes that a daemon has no contact with the store for some time from now on.
     void note_lost_contact(std::uint32_t daemon, base::clock::duration length);
     void check_names_of_connections();
