Tests: Show that the store's client uses no revision of an earlier history

A change whose condition holds by accident after a return of the store is applied there, and must not count as done; further calls that name revisions of before are not sent.

--- a/tests/stand_ins/test_session_platform.cpp
+++ b/tests/stand_ins/test_session_platform.cpp
@@ -218,4 +218,91 @@
     run(context, watch_before_the_history(address));
 }
 
+asio::awaitable<void> use_revisions_of_an_earlier_history(stand_ins::store_server& server,
+                                                          base::endpoint address) {
+    std::vector<base::store_era> eras;
+    platform::store_history history{[&eras](auto /*before*/, base::store_era now, const auto& /*source*/) {
+        eras.push_back(now);
+    }};
+    adapter::store_connection store{address, limit, history};
+    std::string key{"op/k"};
+    const auto item = co_await store.get(key);
+    EXPECT_TRUE(item);
+    server.take_copy();
+    server.return_to_copy();
+    server.take_copy();
+    platform::store_transaction change;
+    change.expected_.push_back({"own", {item->revision_.era(), 0}});
+    change.puts_.push_back({"own", "v", 0});
+    // The condition holds in the next history too, so the store applies the change.
+    const auto lost = co_await store.change(change);
+    EXPECT_FALSE(lost);
+    EXPECT_EQ(lost.last_reason().kind(), base::error_kind::answer_lost);
+    EXPECT_EQ(server.value_of("own"), "v");
+    const auto calls = server.calls();
+    const auto refused = co_await store.change(change);
+    EXPECT_FALSE(refused);
+    EXPECT_EQ(refused.last_reason().kind(), base::error_kind::history_lost);
+    const auto changes = co_await store.watch(key, item->read_at_, base::clock::duration{100});
+    EXPECT_FALSE(changes);
+    EXPECT_EQ(server.calls(), calls);
+    const auto read_again = co_await store.get(key);
+    EXPECT_TRUE(read_again);
+    EXPECT_EQ(read_again->revision_.era(), base::store_era{2});
+    EXPECT_EQ(eras, (std::vector<base::store_era>{base::store_era{1}, base::store_era{2}}));
+}
+
+// Guards against a change that counts as done although its conditions were read in another history of the
+// store, where the same revisions stand for other contents, and against sending such calls at all.
+TEST(store_connection, UsesNoRevisionOfAnEarlierHistory) {
+    asio::io_context context;
+    const base::endpoint address{"127.0.0.1", 20'815};
+    stand_ins::store_server server{context.get_executor(), [](const std::string&, const std::string&) {
+                                       return 200U;
+                                   }};
+    ASSERT_TRUE(server.listen(address));
+    server.state_era(1);
+    server.put("op/k", "v");
+    run(context, use_revisions_of_an_earlier_history(server, address));
+}
+
+asio::awaitable<void> return_to_an_older_copy(stand_ins::store_server& server, base::endpoint address) {
+    platform::store_history history{[](auto, auto, const auto&) {
+    }};
+    adapter::store_connection store{address, limit, history};
+    const auto lease = co_await store.grant_lease(base::clock::duration{1'000});
+    EXPECT_TRUE(lease);
+    server.take_copy();
+    platform::store_transaction change;
+    change.puts_.push_back({"own", "v", *lease});
+    const auto written = co_await store.change(std::move(change));
+    EXPECT_TRUE(written);
+    server.put("op/k", "newer");
+    const auto later = co_await store.grant_lease(base::clock::duration{1'000});
+    EXPECT_TRUE(later);
+    server.return_to_copy();
+    EXPECT_EQ(server.value_of("own"), "");
+    EXPECT_EQ(server.value_of("op/k"), "newer");
+    std::string key{"op/k"};
+    const auto item = co_await store.get(key);
+    EXPECT_TRUE(item && item->read_at_.number() <= written->revision_.number());
+    const auto kept = co_await store.keep_lease(*lease);
+    EXPECT_TRUE(kept && *kept);
+    const auto gone = co_await store.keep_lease(*later);
+    EXPECT_TRUE(gone && !*gone);
+}
+
+// Guards against a stand-in that keeps what a return loses: keys and leases of the system, and its revisions.
+TEST(store_server, LosesWhatTheCopyLacks) {
+    asio::io_context context;
+    const base::endpoint address{"127.0.0.1", 20'817};
+    stand_ins::store_server server{context.get_executor(), [](const std::string&, const std::string&) {
+                                       return 200U;
+                                   }};
+    ASSERT_TRUE(server.listen(address));
+    server.state_era(1);
+    server.put("op/k", "v");
+    run(context, return_to_an_older_copy(server, address));
+}
+
 } // namespace
