Proxy: Tell in logs and metrics that a peer uses a newer configuration

E126 did not say where a version came from, nothing told that a daemon knew of a later version, and a refusal for a key or a database named the version used, but not whether it had been replaced. Messages between daemons now carry the version that the sender uses; E159 names the version, the peer, and what has been received, 1.5 s after the first report; E130, E155 and E156 have behind_ms.

--- a/libraries/daemons/fleet_message.hpp
+++ b/libraries/daemons/fleet_message.hpp
@@ -95,6 +95,8 @@
     /// What the sender has received from the store. Shows a receiver that is behind that the response to its
     /// watch was lost.
     received_revisions received_;
+    /// The version of the configuration that the sender uses; 0 for none.
+    std::uint64_t configuration_version_ = 0;
     /// In a request to the leader and its response: the tokens of tenants with limits. Takes no bytes while
     /// it is empty.
     quota_part quota_;
--- a/libraries/daemons/message_codec.cpp
+++ b/libraries/daemons/message_codec.cpp
@@ -93,7 +93,7 @@
             fields.possible_leaders_.leader_revision_, fields.registered_daemons_, fields.leader_,
             fields.leader_revision_, fields.records_, fields.records_digest_, fields.grace_,
             fields.active_takeovers_, fields.primaries_, fields.received_.databases_,
-            fields.received_.configuration_);
+            fields.received_.configuration_, fields.configuration_version_);
     archive.trailing(fields.quota_);
 }
 
--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -209,7 +209,8 @@
             base::log_event(events::session_revoked,
                             {{"database", database_},
                              {"tenant", tenant_.value_or("-")},
-                             {"configuration", std::to_string(configuration_version())}});
+                             {"configuration", std::to_string(configuration_version())},
+                             {"behind_ms", std::to_string(time_behind().count())}});
         }
     }
 
@@ -275,15 +276,20 @@
     void note_unauthorised() {
         shared_.counters_.sessions_unauthorised_.fetch_add(1, std::memory_order_relaxed);
         if (recorder_.may_log(backends::statement_status::unauthorised)) {
-            base::log_event(
-                events::session_unauthorised,
-                {{"database", database_}, {"configuration", std::to_string(configuration_version())}});
+            base::log_event(events::session_unauthorised,
+                            {{"database", database_},
+                             {"configuration", std::to_string(configuration_version())},
+                             {"behind_ms", std::to_string(time_behind().count())}});
         }
     }
 
     [[nodiscard]] std::uint64_t configuration_version() const {
         return shared_.routes_.read([](const auto& routes) { return routes->version_; });
     }
+    /// Returns for how long a newer configuration than the one in force has been known.
+    [[nodiscard]] base::clock::duration time_behind() const {
+        return shared_.configuration_lag_.duration_at(base::clock::now());
+    }
     [[nodiscard]] bool has_configuration() const { return configuration_version() > 0; }
 
     /// Waits for the first configuration: before it is read, no route is known, so a database must not be
@@ -795,6 +801,7 @@
         summary.prepared_ = is_execute ? statement.name_ : "-";
         summary.elapsed_ = elapsed;
         summary.configuration_ = configuration_version();
+        summary.behind_ = time_behind();
         summary.lease_left_ = shared_.published_lease_.expiry() - base::clock::now();
         log_outcome(summary, response);
     }
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -12,6 +12,7 @@
 #include <operators/session_settings.hpp>
 #include <platform/store_history.hpp>
 #include <proxy/background_task.hpp>
+#include <proxy/configuration_lag.hpp>
 #include <proxy/events.hpp>
 #include <proxy/fleet_knowledge.hpp>
 #include <proxy/group_table.hpp>
@@ -160,6 +161,24 @@
         reported_configuration_ = reported_configuration_.after_report(received.configuration_, now);
     }
 
+    /// Returns the version of the configuration in force; 0 for none.
+    [[nodiscard]] std::uint64_t configuration_version() const {
+        return shared_.routes_.read([](const auto& routes) { return routes->version_; });
+    }
+
+    /// Records the version of the configuration that a peer uses.
+    void note_configuration(std::uint64_t version, const std::string& peer, base::clock::time_point now) {
+        set_configuration_lag(configuration_lag_.after_report(version, configuration_version(), peer, now));
+    }
+
+    /// Records that another configuration came into force.
+    void note_configuration_change() {
+        set_configuration_lag(configuration_lag_.after_change(configuration_version()));
+    }
+
+    /// Returns what is known of a configuration that is newer than the one in force.
+    [[nodiscard]] const configuration_lag& lag() const noexcept { return configuration_lag_; }
+
     /// Probes whether the primary of a service answers this daemon.
     void probe_primary(const std::string& service) {
         auto& thread_groups = groups_.table_for(service);
@@ -355,7 +374,13 @@
         }
     }
 
+    void set_configuration_lag(configuration_lag lag) {
+        configuration_lag_ = std::move(lag);
+        shared_.configuration_lag_.set(configuration_lag_);
+    }
+
     fleet_view published_view_;
+    configuration_lag configuration_lag_;
     bool is_history_confirmed_ = false;
     std::set<std::string> earlier_daemons_;
     bool was_primary_lease_valid_ = false;
--- a/libraries/proxy/events.hpp
+++ b/libraries/proxy/events.hpp
@@ -123,6 +123,10 @@
     156, "session_revoked", severity::info,
     "A session was closed because a new configuration withdrew its API key."};
 
+inline constexpr base::event_definition configuration_behind{
+    159, "configuration_behind", severity::warning,
+    "A peer uses a newer configuration, which has not reached this daemon; what it has received is given."};
+
 inline constexpr base::event_definition store_history_changed{
     157, "store_history_changed", severity::warning,
     "The store came back from an older copy, or its history was learned at the start; what was given up is "
@@ -175,6 +179,7 @@
                                 &session_unauthorised,
                                 &session_revoked,
                                 &store_history_changed,
-                                &store_history_confirmed};
+                                &store_history_confirmed,
+                                &configuration_behind};
 
 } // namespace proxy::events
--- a/libraries/proxy/peer_exchange.hpp
+++ b/libraries/proxy/peer_exchange.hpp
@@ -343,6 +343,7 @@
         message.era_ = control_.store_history_.era();
         message.is_confirmed_ = control_.is_history_confirmed();
         message.received_ = control_.received_;
+        message.configuration_version_ = control_.configuration_version();
         return message;
     }
 
@@ -381,6 +382,7 @@
             return;
         }
         control_.note_report(message->received_, now);
+        control_.note_configuration(message->configuration_version_, message->sender_, now);
         note_responder(*message);
         if (message->is_confirmed_ || !control_.is_history_confirmed()) {
             for (const auto& record : message->records_) {
--- a/libraries/proxy/session_counters.hpp
+++ b/libraries/proxy/session_counters.hpp
@@ -31,6 +31,8 @@
     std::atomic<std::uint64_t> transactions_aborted_{0};
     /// Changes of entries in the platform's store that cannot be used.
     std::atomic<std::uint64_t> store_entries_ignored_{0};
+    /// Configurations that could not be decoded, so that the one before them stays in force.
+    std::atomic<std::uint64_t> configurations_rejected_{0};
     /// The number of the store's history that this daemon knows; 0 for none.
     std::atomic<std::uint64_t> store_era_{0};
     /// Changes of that history while the daemon ran.
--- a/libraries/proxy/session_metrics.cpp
+++ b/libraries/proxy/session_metrics.cpp
@@ -129,6 +129,11 @@
                   (shared.published_lease_.expiry() - now).count());
     const auto version = shared.routes_.read([](const auto& routes) { return routes->version_; });
     append_metric(text, "sassafrasdeal_configuration_version", "gauge", static_cast<std::int64_t>(version));
+    // 0 unless a peer uses a newer one.
+    append_metric(text, "sassafrasdeal_configuration_behind_ms", "gauge",
+                  shared.configuration_lag_.duration_at(now).count());
+    append_metric(text, "sassafrasdeal_configurations_rejected_total", "counter",
+                  value_of(counters.configurations_rejected_));
     std::vector<base::metric_family> families{base::request_metrics(latencies)};
     const auto quotas = shared.quotas_.get();
     if (!quotas->entries().empty()) {
--- a/libraries/proxy/session_shared_state.hpp
+++ b/libraries/proxy/session_shared_state.hpp
@@ -6,6 +6,7 @@
 #include <callers/client_limits.hpp>
 #include <operators/session_routes.hpp>
 #include <proxy/client_pressure.hpp>
+#include <proxy/configuration_lag.hpp>
 #include <proxy/fleet_view.hpp>
 #include <proxy/quota_table.hpp>
 #include <proxy/session_counters.hpp>
@@ -28,6 +29,7 @@
     base::snapshot<quota_table> quotas_{quota_table{}};
     quota_signal quota_signal_;
     backends::published_lease published_lease_;
+    published_configuration_lag configuration_lag_;
     stop_progress stop_progress_;
     session_counters counters_;
     /// Half a gigabyte and a thousand sessions until the settings say otherwise.
--- a/libraries/proxy/statement_outcome.cpp
+++ b/libraries/proxy/statement_outcome.cpp
@@ -58,6 +58,7 @@
          {"waited_ms", std::to_string(trace.waited_.count())},
          {"took_ms", std::to_string(summary.elapsed_.count())},
          {"configuration", std::to_string(summary.configuration_)},
+         {"behind_ms", std::to_string(summary.behind_.count())},
          {"evidence_left_ms", std::to_string(summary.lease_left_.count())},
          {"detail", is_done ? std::string{"-"} : response.detail_}});
 }
--- a/libraries/proxy/statement_outcome.hpp
+++ b/libraries/proxy/statement_outcome.hpp
@@ -23,6 +23,8 @@
     std::string prepared_;
     base::clock::duration elapsed_{0};
     std::uint64_t configuration_ = 0;
+    /// For how long a newer configuration has been known.
+    base::clock::duration behind_{0};
     /// Remaining duration of the primary lease.
     base::clock::duration lease_left_{0};
 
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -12,6 +12,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <atomic>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -54,7 +56,7 @@
                 revision = item->read_at_;
                 note_received(control_.received_.configuration_, item->revision_);
                 control_.reported_configuration_ = control_.reported_configuration_.after_read(revision);
-                apply_configuration(item->value_);
+                apply_configuration(item->value_, item->revision_, "read");
             } else {
                 co_await http::sleep_for(first_configuration_poll_interval);
                 continue;
@@ -91,6 +93,7 @@
             co_await http::sleep_for(overdue_check_interval);
             interrupt_if_overdue(configuration_, control_.reported_configuration_, "configuration");
             interrupt_if_overdue(databases_, control_.reported_databases_, "databases");
+            report_lag(base::clock::now());
         }
     }
 
@@ -130,6 +133,22 @@
         }
     }
 
+    /// Logs once for each newer version that it has not arrived, long after a watch would have delivered it.
+    void report_lag(base::clock::time_point now) {
+        const auto& lag = control_.lag();
+        if (!lag.since() || now - *lag.since() < reported_lag || lag.version() == last_logged_version_) {
+            return;
+        }
+        last_logged_version_ = lag.version();
+        base::log_event(events::configuration_behind,
+                        {{"version", std::to_string(control_.configuration_version())},
+                         {"received", std::to_string(control_.received_.configuration_.number())},
+                         {"newer", std::to_string(lag.version())},
+                         {"peer", lag.peer()},
+                         {"behind_ms", std::to_string((now - *lag.since()).count())},
+                         {"watching", configuration_.pending_ ? "yes" : "no"}});
+    }
+
     static void note_received(base::store_revision& received, base::store_revision revision) {
         received = later_of(received, revision);
     }
@@ -149,16 +168,20 @@
             for (const auto& event : changes->events_) {
                 note_received(control_.received_.configuration_, event.revision_);
                 if (event.value_) {
-                    apply_configuration(*event.value_);
+                    apply_configuration(*event.value_, event.revision_, "watch");
                 }
             }
         }
     }
 
-    void apply_configuration(const std::string& value) {
+    void apply_configuration(const std::string& value, base::store_revision revision, const char* source) {
         auto routes = entries::read_configuration(value);
         if (!routes) {
-            base::log_event(events::configuration_unreadable, {{"reason", routes.last_reason().to_string()}});
+            control_.shared_.counters_.configurations_rejected_.fetch_add(1, std::memory_order_relaxed);
+            base::log_event(events::configuration_unreadable,
+                            {{"reason", routes.last_reason().to_string()},
+                             {"revision", std::to_string(revision.number())},
+                             {"source", source}});
             return;
         }
         const auto current = control_.shared_.routes_.get();
@@ -167,9 +190,12 @@
         }
         base::log_event(events::routes_changed, {{"version", std::to_string((*routes)->version_)},
                                                  {"before", std::to_string((*current)->version_)},
-                                                 {"routes", std::to_string((*routes)->routes_.size())}});
+                                                 {"routes", std::to_string((*routes)->routes_.size())},
+                                                 {"revision", std::to_string(revision.number())},
+                                                 {"source", source}});
         control_.quota_.apply(*routes, base::clock::now());
         control_.shared_.routes_.publish(std::move(*routes));
+        control_.note_configuration_change();
         control_.publish();
     }
 
@@ -277,6 +303,8 @@
     // With a lost call, well below the time for which a leaving database is still used.
     static constexpr base::clock::duration candidate_watch_timeout{2'500};
     static constexpr base::clock::duration overdue_check_interval{200};
+    // The end of a lost watch and a read of the store are over by then.
+    static constexpr base::clock::duration reported_lag{1'500};
     // Prevents a busy loop against a store that refuses watches but answers reads.
     static constexpr base::clock::duration delay_after_watch{120};
     static constexpr base::clock::duration first_configuration_poll_interval{250};
@@ -284,6 +312,8 @@
     control_context<Platform>& control_;
     follower configuration_;
     follower databases_;
+    /// The newest version of which it was logged that it has not arrived.
+    std::uint64_t last_logged_version_ = 0;
 };
 
 } // namespace proxy
--- a/tests/daemons/test_lease.cpp
+++ b/tests/daemons/test_lease.cpp
@@ -244,6 +244,7 @@
     fields.grace_ = ms(400);
     fields.active_takeovers_ = {"svc"};
     fields.received_ = {revision_at(81), revision_at(64)};
+    fields.configuration_version_ = 22;
     fields.primaries_ = {daemons::observed_primary{
         daemons::observed_primary_fields{"svc", "i-1", daemons::primary_observation::fails}}};
     return daemons::fleet_message{fields};
