--- a/tests/proxy/session_fleet.cpp
+++ b/tests/proxy/session_fleet.cpp
@@ -33,10 +33,11 @@
 constexpr int response_timeout_s = 12;
 constexpr mode_t owner_may_read_and_write = 0600;
 constexpr std::size_t database_count = 3;
-// Port offsets: of the store, the databases and the daemons from the first port of the fleet, and of each
-// daemon's other listeners from its client port.
+// Port offsets: of the store, the databases, the link to the store and the daemons from the first port of the
+// fleet, and of each daemon's other listeners from its client port.
 constexpr std::uint16_t store_offset = 0;
 constexpr std::uint16_t database_offset = 1;
+constexpr std::uint16_t link_offset = 4;
 constexpr std::uint16_t daemon_offset = 10;
 constexpr std::uint16_t ports_of_daemon = 4;
 constexpr std::uint16_t readiness_offset = 1;
@@ -142,7 +143,10 @@
         return 200;
     };
     store_ = std::make_unique<stand_ins::store_server>(context_.get_executor(), promote);
-    EXPECT_TRUE(store_->listen({"127.0.0.1", static_cast<std::uint16_t>(first_port_ + store_offset)}));
+    const base::endpoint store_address{"127.0.0.1", static_cast<std::uint16_t>(first_port_ + store_offset)};
+    EXPECT_TRUE(store_->listen(store_address));
+    link_ = std::make_unique<stand_ins::store_link>(context_.get_executor(), store_address);
+    EXPECT_TRUE(link_->listen({"127.0.0.1", static_cast<std::uint16_t>(first_port_ + link_offset)}));
     for (std::size_t number = 0; number < database_count; ++number) {
         const auto port = static_cast<std::uint16_t>(first_port_ + database_offset + number);
         auto database = std::make_shared<stand_ins::line_database>(context_.get_executor(), "svc",
@@ -206,7 +210,8 @@
             R"("})");
 }
 
-std::size_t session_fleet::start_daemon(const std::string& log_path, const std::string& more_settings) {
+std::size_t session_fleet::start_daemon(const std::string& log_path, const std::string& more_settings,
+                                        store_path path_to_store) {
     const auto number = daemons_.size();
     const auto port = client_port(number);
     const auto path = ::testing::TempDir() + "sessiond_" + std::to_string(port) + ".ini";
@@ -221,7 +226,8 @@
     section("readiness", local_address(port + readiness_offset));
     section("peers", local_address(port + peer_offset));
     section("metrics", local_address(port + metrics_offset));
-    section("store", local_address(first_port_ + store_offset));
+    section("store",
+            local_address(first_port_ + (path_to_store == store_path::link ? link_offset : store_offset)));
     section("promotion", local_address(first_port_ + store_offset));
     settings << "[stop]\ngrace_s = 3\n" << more_settings;
     settings.close();
--- a/tests/proxy/session_fleet.hpp
+++ b/tests/proxy/session_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <stand_ins/session_platform/line_database.hpp>
+#include <stand_ins/session_platform/store_link.hpp>
 #include <stand_ins/session_platform/store_server.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -45,6 +46,9 @@
     std::uint64_t last_id_ = 0;
 };
 
+/// How a daemon reaches the store.
+enum class store_path { direct, link };
+
 /// A test cluster: a stand-in store, one service with three stand-in databases, and session daemons as
 /// separate processes on consecutive ports.
 class session_fleet {
@@ -63,8 +67,9 @@
     /// half a minute.
     void publish_tenants(std::uint64_t version, const std::string& tenants);
     /// Starts a daemon and returns its number. If `log_path` is given, it logs everything to this file.
-    /// `more_settings` is appended to its settings file.
-    std::size_t start_daemon(const std::string& log_path = {}, const std::string& more_settings = {});
+    /// `more_settings` is appended to its settings file. Over the link, it reaches the store as `link` says.
+    std::size_t start_daemon(const std::string& log_path = {}, const std::string& more_settings = {},
+                             store_path path = store_path::direct);
     [[nodiscard]] pid_t process_of(std::size_t number) const { return daemons_.at(number); }
     void signal_daemon(std::size_t number, int signal) const;
     /// Waits until a daemon exits. Returns its exit code, or nothing if it was killed or still runs.
@@ -81,6 +86,7 @@
     void run_on_stand_in_thread(const std::function<void(session_fleet&)>& function);
 
     [[nodiscard]] stand_ins::store_server& store() noexcept { return *store_; }
+    [[nodiscard]] stand_ins::store_link& link() noexcept { return *link_; }
     [[nodiscard]] stand_ins::line_database& database(std::size_t number) { return *databases_.at(number); }
     /// Writes the server list entry of a database.
     void list_database(std::size_t number, bool is_primary, bool is_draining);
@@ -94,6 +100,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
     std::uint16_t first_port_;
     std::unique_ptr<stand_ins::store_server> store_;
+    std::unique_ptr<stand_ins::store_link> link_;
     std::vector<std::shared_ptr<stand_ins::line_database>> databases_;
     std::vector<std::string> promotions_;
     std::vector<pid_t> daemons_;
