Proxy, Daemons: Fetch a configuration from peers when the store does not deliver it

Cause: the store's watch was the only way in which a configuration reached a session daemon; its peers told it the revision that they had, not the contents.

A daemon that has known for 1.5 s of a newer version than its own fetches it, first from any registered daemon and then from the one that reported it, so that the leader, from which most daemons hear of it, does not serve the fleet. The version decides, as before.

--- a/libraries/daemons/configuration_spread_service.hpp
+++ b/libraries/daemons/configuration_spread_service.hpp
@@ -7,7 +7,6 @@
 #include <daemons/configuration_offer.hpp>
 #include <daemons/configuration_spread.hpp>
 #include <http/sleep.hpp>
-#include <operators/configuration.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -16,6 +15,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,12 +25,12 @@
 
 namespace daemons {
 
-/// Encodes and decodes configurations; `operators` implements it.
+/// Decodes the configurations of one kind of daemon.
 template <typename Codec>
-concept configuration_codec = requires(const Codec& codec, const operators::configuration& value,
+concept configuration_codec = requires(const Codec& codec, const typename Codec::configuration& value,
                                        std::string_view text) {
-    { codec.encode(value) } -> std::same_as<std::string>;
-    { codec.decode(text) } -> std::same_as<base::result<operators::configuration>>;
+    { codec.decode(text) } -> std::same_as<base::result<typename Codec::configuration>>;
+    { codec.revision_of(value) } -> std::same_as<std::uint64_t>;
 };
 
 /// Fetches configurations from peers; `peer_client` implements it.
@@ -48,17 +48,24 @@
 
 /// Keeps this daemon's configuration up to date and serves it to peers.
 ///
-/// Thread safety: `configuration` and `offer` from any thread; everything else on the thread of the executor.
+/// Thread safety: `configuration` and `offer` from any thread; everything else on the thread of the executor,
+/// which also calls the listener.
 /// Lifetime: kept alive by its own coroutines until `close`; the fetcher outlives it.
 template <base::time_source Clock, configuration_fetcher Fetcher, configuration_codec Codec>
 class configuration_spread_service
     : public std::enable_shared_from_this<configuration_spread_service<Clock, Fetcher, Codec>> {
 public:
+    using configuration_type = typename Codec::configuration;
+    /// Called with each configuration that is activated and where it came from.
+    using listener = std::function<void(const configuration_type&, std::string_view source)>;
+
     configuration_spread_service(boost::asio::any_io_executor executor, Fetcher& fetcher, Codec codec,
+                                 listener on_activated = {},
+                                 base::clock::duration fetch_timeout = default_fetch_timeout,
                                  Clock clock = {})
-        : executor_{std::move(executor)}, fetcher_{fetcher}, codec_{std::move(codec)}, clock_{std::move(
-                                                                                           clock)},
-          configuration_{operators::configuration{}}, offer_{configuration_offer{}} {}
+        : executor_{std::move(executor)}, fetcher_{fetcher}, codec_{std::move(codec)},
+          on_activated_{std::move(on_activated)}, fetch_timeout_{fetch_timeout}, clock_{std::move(clock)},
+          configuration_{configuration_type{}}, offer_{configuration_offer{}} {}
 
     /// Starts to fetch from the first few of `peers`. Precondition: held by a `std::shared_ptr`; called once.
     void start(std::vector<base::endpoint> peers) {
@@ -71,23 +78,27 @@
     /// Records the revision that a peer announced.
     void note_announcement(const revision_source& source) { apply(revision_announced{source}); }
 
-    /// Accepts the configuration read from the platform's store; empty when the store holds none yet. Returns
-    /// whether it was activated.
-    bool accept_from_store(const std::optional<operators::configuration>& found) {
-        const auto revision = found ? (*found)->revision_ : 0;
+    /// Accepts a configuration read from the platform's store and the encoded content that peers decode.
+    /// Returns whether it was activated.
+    bool accept_from_store(const configuration_type& found, std::string content,
+                           std::string_view source = "store") {
+        const auto revision = codec_.revision_of(found);
         const auto accepted = apply(store_responded{revision}) == spread_step::verdict::accept;
         if (accepted) {
-            activate(*found, codec_.encode(*found), "store");
+            activate(found, std::move(content), source);
         }
         return accepted;
     }
 
+    /// Records that the platform's store holds no configuration yet.
+    void note_empty_store() { apply(store_responded{0}); }
+
     /// Returns whether peers are tried first, the store has to be read, or requests can be served.
     [[nodiscard]] spread_phase phase() const noexcept { return state_.phase_; }
     /// Returns the active revision.
     [[nodiscard]] std::uint64_t revision() const noexcept { return state_.revision_; }
     /// Returns the active configuration.
-    [[nodiscard]] const base::snapshot<operators::configuration>& configuration() const noexcept {
+    [[nodiscard]] const base::snapshot<configuration_type>& configuration() const noexcept {
         return configuration_;
     }
 
@@ -121,7 +132,7 @@
     static boost::asio::awaitable<void> fetch(std::shared_ptr<configuration_spread_service> self,
                                               base::endpoint peer) {
         const auto known = self->revision();
-        const auto found = co_await self->fetcher_.fetch_configuration(peer, known, fetch_timeout);
+        const auto found = co_await self->fetcher_.fetch_configuration(peer, known, self->fetch_timeout_);
         if (!found) {
             report_failed_fetch(peer, found.last_reason());
             self->apply(fetch_failed{});
@@ -136,7 +147,7 @@
             return;
         }
         const auto decoded = codec_.decode(found->content_);
-        if (!decoded || (*decoded)->revision_ != found->revision_) {
+        if (!decoded || codec_.revision_of(*decoded) != found->revision_) {
             report_unreadable_configuration(peer, decoded ? "its revision differs from the offer's"
                                                           : decoded.last_reason().message());
             apply(fetch_failed{});
@@ -147,22 +158,27 @@
         }
     }
 
-    void activate(const operators::configuration& accepted, std::string content, std::string_view source) {
+    void activate(const configuration_type& accepted, std::string content, std::string_view source) {
+        const auto revision = codec_.revision_of(accepted);
         configuration_.publish(accepted);
-        offer_.publish(
-            configuration_offer{configuration_offer_fields{accepted->revision_, std::move(content)}});
-        report_accepted_configuration(accepted->revision_, source);
+        offer_.publish(configuration_offer{configuration_offer_fields{revision, std::move(content)}});
+        report_accepted_configuration(revision, source);
+        if (on_activated_) {
+            on_activated_(accepted, source);
+        }
     }
 
     static constexpr base::clock::duration tick{250};
-    static constexpr base::clock::duration fetch_timeout{2'000};
+    static constexpr base::clock::duration default_fetch_timeout{2'000};
 
     boost::asio::any_io_executor executor_;
     Fetcher& fetcher_;
     Codec codec_;
+    listener on_activated_;
+    base::clock::duration fetch_timeout_;
     Clock clock_;
     spread_state state_;
-    base::snapshot<operators::configuration> configuration_;
+    base::snapshot<configuration_type> configuration_;
     base::snapshot<configuration_offer> offer_;
     bool closed_ = false;
 };
--- a/libraries/daemons/peer_server.hpp
+++ b/libraries/daemons/peer_server.hpp
@@ -28,13 +28,18 @@
 
 namespace daemons {
 
-/// Handles the requests of other daemons. Each call may suspend; many run concurrently.
+/// Handles the requests of other daemons for configurations. Each call may suspend; many run concurrently.
 template <typename Handler>
-concept peer_handler = requires(Handler& handler, base::request message, suspicion_check suspicion,
-                                configuration_fetch fetch) {
+concept peer_handler = requires(Handler& handler, configuration_fetch fetch) {
+    { handler.fetch_configuration(fetch) } -> std::same_as<boost::asio::awaitable<configuration_offer>>;
+};
+
+/// Also handles requests of callers that other daemons forward, and their suspicions.
+template <typename Handler>
+concept forwarding_peer_handler = peer_handler<Handler> &&
+    requires(Handler& handler, base::request message, suspicion_check suspicion) {
     { handler.forward(std::move(message)) } -> std::same_as<boost::asio::awaitable<base::response>>;
     { handler.check_suspicion(std::move(suspicion)) } -> std::same_as<boost::asio::awaitable<reachability>>;
-    { handler.fetch_configuration(fetch) } -> std::same_as<boost::asio::awaitable<configuration_offer>>;
 };
 
 /// Serves requests from other daemons on one listener, with many concurrent requests per connection.
@@ -191,6 +196,20 @@
 
     // Returns the reason to close the connection, or nothing.
     std::optional<base::error> handle_frame(const shared_connection& connection, const frame& request) {
+        if constexpr (forwarding_peer_handler<Handler>) {
+            if (request.type() == frame_type::request) {
+                return serve_request(connection, request, read_request(request),
+                                     [](Handler& handler, base::request message) {
+                                         return handler.forward(std::move(message));
+                                     });
+            }
+            if (request.type() == frame_type::suspicion_check) {
+                return serve_request(connection, request, read_suspicion_check(request),
+                                     [](Handler& handler, suspicion_check check) {
+                                         return handler.check_suspicion(std::move(check));
+                                     });
+            }
+        }
         switch (request.type()) {
         case frame_type::heartbeat:
             // Anything that waits to be written serves as the response to a heartbeat.
@@ -198,15 +217,6 @@
                 connection->stream_->send(request);
             }
             return std::nullopt;
-        case frame_type::request:
-            return serve_request(
-                connection, request, read_request(request),
-                [](Handler& handler, base::request message) { return handler.forward(std::move(message)); });
-        case frame_type::suspicion_check:
-            return serve_request(connection, request, read_suspicion_check(request),
-                                 [](Handler& handler, suspicion_check check) {
-                                     return handler.check_suspicion(std::move(check));
-                                 });
         case frame_type::configuration_fetch:
             return serve_request(connection, request, read_configuration_fetch(request),
                                  [](Handler& handler, configuration_fetch fetch) {
@@ -214,7 +224,7 @@
                                  });
         default:
             return base::error{base::error_kind::frame_invalid,
-                               "a client sent a frame that is not a request"};
+                               "a client sent a frame that is no request which this daemon serves"};
         }
     }
 
--- a/libraries/proxy/control_plane.cpp
+++ b/libraries/proxy/control_plane.cpp
@@ -86,7 +86,7 @@
         if (found && found->found_) {
             apply_stored_configuration(found->revision_, found->value_);
         } else if (found) {
-            spread_->accept_from_store(std::nullopt);
+            spread_->note_empty_store();
         } else {
             co_await http::sleep_for(store_retry_delay);
         }
@@ -158,7 +158,7 @@
                                                            {"reason", decoded.last_reason().to_string()}});
         return;
     }
-    spread_->accept_from_store(*decoded);
+    spread_->accept_from_store(*decoded, operators::encode_configuration(*decoded));
 }
 
 } // namespace proxy
--- a/libraries/proxy/control_plane.hpp
+++ b/libraries/proxy/control_plane.hpp
@@ -23,14 +23,16 @@
 
 namespace proxy {
 
-/// Encodes configurations for the exchange between daemons.
+/// Decodes configurations in the exchange between daemons.
 struct configuration_text_codec {
-    [[nodiscard]] std::string encode(const operators::configuration& value) const {
-        return operators::encode_configuration(value);
-    }
+    using configuration = operators::configuration;
+
     [[nodiscard]] base::result<operators::configuration> decode(std::string_view text) const {
         return operators::decode_configuration(text);
     }
+    [[nodiscard]] std::uint64_t revision_of(const operators::configuration& value) const {
+        return value->revision_;
+    }
 };
 
 using spread_service =
--- a/libraries/proxy/session_daemon.hpp
+++ b/libraries/proxy/session_daemon.hpp
@@ -8,6 +8,7 @@
 #include <http/server.hpp>
 #include <http/sleep.hpp>
 #include <proxy/background_task.hpp>
+#include <proxy/configuration_exchange.hpp>
 #include <proxy/control_context.hpp>
 #include <proxy/fleet_poll.hpp>
 #include <proxy/history_confirmation.hpp>
@@ -54,7 +55,11 @@
     session_daemon(operators::session_settings settings, std::string settings_path)
         : settings_path_{std::move(settings_path)}, shared_{settings->failure_domain_, settings->name_},
           control_{context_, std::move(settings), shared_, groups_, generate_run_number()},
-          watchers_{control_}, poll_{control_}, signals_{context_, SIGTERM, SIGINT, SIGHUP} {}
+          configurations_{control_}, watchers_{control_, configurations_}, poll_{control_}, signals_{context_,
+                                                                                                     SIGTERM,
+                                                                                                     SIGINT,
+                                                                                                     SIGHUP} {
+    }
 
     /// Serves until a signal stops the daemon. Errors: `settings_invalid` when an address cannot be used.
     [[nodiscard]] std::optional<base::error> run() {
@@ -76,6 +81,9 @@
         peers_->quota().connect();
         takeovers_.emplace(control_, *peers_);
         confirmation_.emplace(control_, *peers_);
+        if (auto failure = configurations_.listen()) {
+            return failure;
+        }
         if (auto failure = start_servers()) {
             return failure;
         }
@@ -185,6 +193,7 @@
     void start_control_tasks() {
         run_periodically("configuration", [this] { return watchers_.follow_configuration(); });
         run_periodically("databases", [this] { return watchers_.follow_databases(); });
+        run_periodically("configurations of peers", [this] { return configurations_.fetch_overdue(); });
         run_periodically("overdue watches", [this] { return watchers_.interrupt_overdue_watches(); });
         run_periodically("fleet poll", [this] { return poll_.poll(); });
         run_periodically("leadership renewal", [this] { return poll_.renew_leadership(); });
@@ -374,6 +383,7 @@
     group_tables<typename Platform::protocol> groups_;
     std::vector<std::unique_ptr<worker>> workers_;
     control_context<Platform> control_;
+    configuration_exchange<Platform> configurations_;
     store_watchers<Platform> watchers_;
     fleet_poll<Platform> poll_;
     std::optional<peer_exchange<Platform>> peers_;
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -6,13 +6,13 @@
 #include <http/sleep.hpp>
 #include <platform/store_item.hpp>
 #include <proxy/change_batching.hpp>
+#include <proxy/configuration_exchange.hpp>
 #include <proxy/control_context.hpp>
 #include <proxy/pending_watch.hpp>
 #include <proxy/retry_delay.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
-#include <atomic>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -33,10 +33,11 @@
 public:
     using entries = typename Platform::entries;
 
-    explicit store_watchers(control_context<Platform>& control)
-        : control_{control}, configuration_{{control.settings_->store_address_, call_timeout,
-                                             control.store_history_},
-                                            {}},
+    /// `exchange` outlives this object.
+    store_watchers(control_context<Platform>& control, configuration_exchange<Platform>& exchange)
+        : control_{control}, exchange_{exchange}, configuration_{{control.settings_->store_address_,
+                                                                  call_timeout, control.store_history_},
+                                                                 {}},
           databases_{{control.settings_->store_address_, call_timeout, control.store_history_}, {}} {}
 
     /// Follows the operators' configuration until the process ends.
@@ -56,7 +57,7 @@
                 revision = item->read_at_;
                 note_received(control_.received_.configuration_, item->revision_);
                 control_.reported_configuration_ = control_.reported_configuration_.after_read(revision);
-                apply_configuration(item->value_, item->revision_, "read");
+                exchange_.apply_stored(item->value_, item->revision_, "read");
             } else {
                 co_await http::sleep_for(first_configuration_poll_interval);
                 continue;
@@ -168,37 +169,12 @@
             for (const auto& event : changes->events_) {
                 note_received(control_.received_.configuration_, event.revision_);
                 if (event.value_) {
-                    apply_configuration(*event.value_, event.revision_, "watch");
+                    exchange_.apply_stored(*event.value_, event.revision_, "watch");
                 }
             }
         }
     }
 
-    void apply_configuration(const std::string& value, base::store_revision revision, const char* source) {
-        auto routes = entries::read_configuration(value);
-        if (!routes) {
-            control_.shared_.counters_.configurations_rejected_.fetch_add(1, std::memory_order_relaxed);
-            base::log_event(events::configuration_unreadable,
-                            {{"reason", routes.last_reason().to_string()},
-                             {"revision", std::to_string(revision.number())},
-                             {"source", source}});
-            return;
-        }
-        const auto current = control_.shared_.routes_.get();
-        if ((*routes)->version_ <= (*current)->version_) {
-            return;
-        }
-        base::log_event(events::routes_changed, {{"version", std::to_string((*routes)->version_)},
-                                                 {"before", std::to_string((*current)->version_)},
-                                                 {"routes", std::to_string((*routes)->routes_.size())},
-                                                 {"revision", std::to_string(revision.number())},
-                                                 {"source", source}});
-        control_.quota_.apply(*routes, base::clock::now());
-        control_.shared_.routes_.publish(std::move(*routes));
-        control_.note_configuration_change();
-        control_.publish();
-    }
-
     boost::asio::awaitable<base::result<base::store_revision>>
     list_databases(std::vector<backends::database_listing>& listings) {
         std::string last_key;
@@ -310,6 +286,7 @@
     static constexpr base::clock::duration first_configuration_poll_interval{250};
 
     control_context<Platform>& control_;
+    configuration_exchange<Platform>& exchange_;
     follower configuration_;
     follower databases_;
     /// The newest version of which it was logged that it has not arrived.
--- a/tests/daemons/test_peers.cpp
+++ b/tests/daemons/test_peers.cpp
@@ -4,6 +4,7 @@
 #include <daemons/message_codec.hpp>
 #include <daemons/peer_client.hpp>
 #include <daemons/peer_server.hpp>
+#include <operators/configuration.hpp>
 
 #include <gtest/gtest.h>
 
@@ -386,10 +387,14 @@
 
 namespace {
 
+std::string encode(const operators::configuration& value) {
+    return std::to_string(value->revision_) + " " + value->publisher_;
+}
+
 struct text_codec {
-    std::string encode(const operators::configuration& value) const {
-        return std::to_string(value->revision_) + " " + value->publisher_;
-    }
+    using configuration = operators::configuration;
+
+    std::uint64_t revision_of(const operators::configuration& value) const { return value->revision_; }
     base::result<operators::configuration> decode(std::string_view text) const {
         const auto space = text.find(' ');
         if (space == std::string_view::npos) {
@@ -448,8 +453,8 @@
         members.back()->start();
     }
     auto& first = *spreads.at(19'310);
-    EXPECT_TRUE(first.accept_from_store(make_configuration(8)));
-    EXPECT_FALSE(first.accept_from_store(make_configuration(7)));
+    EXPECT_TRUE(first.accept_from_store(make_configuration(8), encode(make_configuration(8))));
+    EXPECT_FALSE(first.accept_from_store(make_configuration(7), encode(make_configuration(7))));
     spreads.at(19'312)->note_announcement({{"127.0.0.1", 1}, 900});
     const auto settled = [&] {
         return std::ranges::all_of(members,
