Proxy: Deny a client nothing by a configuration known to be replaced

What callers saw: a daemon that knew from its peers of a newer configuration answered NODB or UNAUTH by its own one, which clients take as final. Cause: the decision looked only at the configuration in force. Now a session that it does not admit waits for the newer one, within the time that a client gives a start, and is otherwise refused with THROTTLED, which may be retried elsewhere; so is a statement whose route is missing.

--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -254,17 +254,11 @@
             co_await send(std::move(refusal));
             co_return false;
         }
+        co_await wait_for_newer_configuration();
         const auto route = find_route();
-        if (!route) {
-            auto refusal = Protocol::encode_start_refused(backends::statement_status::no_database, database_);
-            co_await send(std::move(refusal));
-            co_return false;
-        }
-        tenant_ = find_tenant(**route);
+        tenant_ = route ? find_tenant(**route) : std::nullopt;
         if (!tenant_) {
-            note_unauthorised();
-            auto refusal =
-                Protocol::encode_start_refused(backends::statement_status::unauthorised, unknown_key);
+            auto refusal = refuse_start(route.has_value());
             co_await send(std::move(refusal));
             co_return false;
         }
@@ -273,6 +267,25 @@
         co_return co_await send(std::move(greeting));
     }
 
+    /// Returns whether the configuration in force admits the session.
+    [[nodiscard]] bool is_admitted() const {
+        const auto route = find_route();
+        return route && find_tenant(**route);
+    }
+
+    /// Encodes the refusal of a session that the configuration in force does not admit. While a newer one is
+    /// known, the client may come back, because that one may admit it.
+    [[nodiscard]] std::string refuse_start(bool has_route) {
+        if (shared_.configuration_lag_.is_behind()) {
+            return Protocol::encode_start_refused(backends::statement_status::overloaded, is_behind);
+        }
+        if (!has_route) {
+            return Protocol::encode_start_refused(backends::statement_status::no_database, database_);
+        }
+        note_unauthorised();
+        return Protocol::encode_start_refused(backends::statement_status::unauthorised, unknown_key);
+    }
+
     void note_unauthorised() {
         shared_.counters_.sessions_unauthorised_.fetch_add(1, std::memory_order_relaxed);
         if (recorder_.may_log(backends::statement_status::unauthorised)) {
@@ -301,6 +314,22 @@
         }
     }
 
+    /// Waits while the session is not admitted and a newer configuration is known, which may admit it.
+    [[nodiscard]] boost::asio::awaitable<void> wait_for_newer_configuration() {
+        const auto end = accepted_at_ + configuration_timeout;
+        while (shared_.configuration_lag_.is_behind() && !is_admitted() && base::clock::now() < end) {
+            co_await http::sleep_for(configuration_poll_interval);
+        }
+    }
+
+    /// Refuses a statement because no route has the session's database name. While a newer configuration is
+    /// known, which may have it, the statement may be retried.
+    [[nodiscard]] response_type refuse_missing_database() const {
+        return shared_.configuration_lag_.is_behind()
+                   ? refuse(backends::statement_status::overloaded, is_behind)
+                   : refuse(backends::statement_status::no_database, database_);
+    }
+
     [[nodiscard]] boost::asio::awaitable<bool> handle_line(std::string line) {
         const bool may_run = co_await take_statement_memory(line.size());
         auto message = Protocol::decode_client(line);
@@ -452,7 +481,7 @@
     [[nodiscard]] response_type begin(const callers::statement_fields& statement) {
         route_ = find_route();
         if (!route_) {
-            return refuse(backends::statement_status::no_database, database_);
+            return refuse_missing_database();
         }
         tenant_ = find_tenant(**route_);
         if (!tenant_) {
@@ -468,7 +497,7 @@
     [[nodiscard]] boost::asio::awaitable<response_type> run_single(callers::statement statement) {
         route_ = find_route();
         if (!route_) {
-            co_return refuse(backends::statement_status::no_database, database_);
+            co_return refuse_missing_database();
         }
         tenant_ = find_tenant(**route_);
         if (!tenant_) {
@@ -811,6 +840,7 @@
     }
 
     static constexpr const char* unknown_key = "the key belongs to no tenant";
+    static constexpr const char* is_behind = "a newer configuration has not arrived yet";
     static constexpr const char* stopping = "the daemon is stopping";
     static constexpr const char* session_full = "the session holds too many values and prepared statements";
     // Below the two seconds after which clients abandon a session that has not started.
