HTTP, Platform, Proxy: Give up a response of the store only when it stops arriving

What callers saw: a large configuration over a slow link never came into force; a daemon that started then was never ready. Cause: the whole response to a read had to arrive within 700 ms, the time after which a call counts as lost, so that the next attempt had the same end; and a watch whose response was arriving was cut when a peer had reported the change for that long. The store's value may have 1 MiB, which takes 1.1 s over 10 Mbit/s.

Change: the limit of a call holds until the response begins, and then for each part of it. A watch whose response is arriving is not cut. Other users of the HTTP client keep the limit for the whole exchange.

--- a/libraries/http/client_connection.cpp
+++ b/libraries/http/client_connection.cpp
@@ -66,17 +66,26 @@
 }
 
 template <typename Stream, typename Message, typename Parser>
-asio::awaitable<boost::system::error_code> exchange_messages(Stream& stream, beast::flat_buffer& buffer,
-                                                             Message& message, Parser& parser) {
+asio::awaitable<boost::system::error_code> send_and_read_header(Stream& stream, beast::flat_buffer& buffer,
+                                                                Message& message, Parser& parser) {
     boost::system::error_code failure;
     co_await beast::http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, failure));
     if (!failure) {
-        co_await beast::http::async_read(stream, buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, failure));
+        co_await beast::http::async_read_header(stream, buffer, parser,
+                                                asio::redirect_error(asio::use_awaitable, failure));
     }
     co_return failure;
 }
 
+template <typename Stream, typename Parser>
+asio::awaitable<boost::system::error_code> read_part(Stream& stream, beast::flat_buffer& buffer,
+                                                     Parser& parser) {
+    boost::system::error_code failure;
+    co_await beast::http::async_read_some(stream, buffer, parser,
+                                          asio::redirect_error(asio::use_awaitable, failure));
+    co_return failure;
+}
+
 } // namespace
 
 struct client_connection::implementation {
@@ -87,12 +96,16 @@
         }
     }
 
+    asio::awaitable<base::result<response>> exchange(request message, base::clock::duration timeout,
+                                                     std::optional<base::clock::duration> part_timeout);
+
     beast::tcp_stream stream_;
     std::optional<asio::ssl::stream<beast::tcp_stream&>> tls_;
     beast::flat_buffer buffer_;
     std::string peer_;
     tls_context tls_context_;
     bool is_usable_ = true;
+    bool is_receiving_body_ = false;
 };
 
 client_connection::client_connection(std::unique_ptr<implementation> owned)
@@ -129,32 +142,59 @@
 
 asio::awaitable<base::result<response>> client_connection::exchange(request message,
                                                                     base::clock::duration timeout) {
-    auto& self = *implementation_;
-    auto outgoing = to_message(message, self.peer_);
+    return implementation_->exchange(std::move(message), timeout, std::nullopt);
+}
+
+asio::awaitable<base::result<response>> client_connection::exchange(request message,
+                                                                    base::clock::duration timeout,
+                                                                    base::clock::duration part_timeout) {
+    return implementation_->exchange(std::move(message), timeout, part_timeout);
+}
+
+asio::awaitable<base::result<response>>
+client_connection::implementation::exchange(request message, base::clock::duration timeout,
+                                            std::optional<base::clock::duration> part_timeout) {
+    auto outgoing = to_message(message, peer_);
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(max_response_body_bytes);
     // Set again once the whole response has been read; an abandoned exchange leaves the connection unusable.
-    self.is_usable_ = false;
-    self.stream_.expires_after(timeout);
+    is_usable_ = false;
+    stream_.expires_after(timeout);
     boost::system::error_code failure;
-    if (self.tls_) {
-        failure = co_await exchange_messages(*self.tls_, self.buffer_, outgoing, parser);
+    if (tls_) {
+        failure = co_await send_and_read_header(*tls_, buffer_, outgoing, parser);
     } else {
-        failure = co_await exchange_messages(self.stream_, self.buffer_, outgoing, parser);
+        failure = co_await send_and_read_header(stream_, buffer_, outgoing, parser);
+    }
+    is_receiving_body_ = true;
+    while (!failure && !parser.is_done()) {
+        if (part_timeout) {
+            stream_.expires_after(*part_timeout);
+        }
+        if (tls_) {
+            failure = co_await read_part(*tls_, buffer_, parser);
+        } else {
+            failure = co_await read_part(stream_, buffer_, parser);
+        }
     }
+    is_receiving_body_ = false;
     if (failure) {
         // SO_LINGER with timeout 0 resets the connection and discards unsent bytes. Otherwise a request that
         // was abandoned during a network partition could still arrive after the partition has ended.
         boost::system::error_code ignored;
-        self.stream_.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
-        close();
-        co_return exchange_error(failure, self.peer_);
+        stream_.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+        stream_.close();
+        co_return exchange_error(failure, peer_);
     }
-    self.stream_.expires_never();
-    self.is_usable_ = parser.get().keep_alive();
+    stream_.expires_never();
+    is_usable_ = parser.get().keep_alive();
     co_return to_response(parser.release());
 }
 
+bool client_connection::is_receiving_body() const noexcept {
+    return implementation_ && implementation_->is_receiving_body_;
+}
+
 bool client_connection::is_usable() const noexcept {
     return implementation_ && implementation_->is_usable_;
 }
--- a/libraries/http/client_connection.hpp
+++ b/libraries/http/client_connection.hpp
@@ -34,6 +34,13 @@
     [[nodiscard]] boost::asio::awaitable<base::result<response>> exchange(request message,
                                                                           base::clock::duration timeout);
 
+    /// The same, but `timeout` ends with the header of the response. The body may take as long as each part
+    /// of it arrives within `part_timeout`, so that a large response over a slow link is not given up.
+    [[nodiscard]] boost::asio::awaitable<base::result<response>>
+    exchange(request message, base::clock::duration timeout, base::clock::duration part_timeout);
+
+    /// Returns whether the body of a response is arriving.
+    [[nodiscard]] bool is_receiving_body() const noexcept;
     /// Returns whether another exchange can be started.
     [[nodiscard]] bool is_usable() const noexcept;
 
--- a/libraries/platform/fleet_store.hpp
+++ b/libraries/platform/fleet_store.hpp
@@ -14,7 +14,8 @@
 namespace platform {
 
 /// Requires a client of the platform's store with the calls that session daemons use. One object runs one
-/// call at a time. `interrupt` ends a pending call, which then fails like one without a response.
+/// call at a time. `interrupt` ends a pending call, which then fails like one without a response;
+/// `is_receiving` tells whether its response is arriving.
 ///
 /// Reads are linearizable. A call that names a revision, or that changes something, fails if the store is
 /// found to be in another history than when the call was sent. Errors of each call: `overloaded` (refused and
@@ -35,6 +36,7 @@
     { store.grant_lease(length) } -> std::same_as<boost::asio::awaitable<base::result<std::uint64_t>>>;
     { store.keep_lease(number) } -> std::same_as<boost::asio::awaitable<base::result<bool>>>;
     { store.interrupt() } -> std::same_as<void>;
+    { store.is_receiving() } -> std::same_as<bool>;
 };
 
 } // namespace platform
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -124,7 +124,9 @@
             return;
         }
         const bool is_of_earlier_history = part.pending_->after_.era() != control_.store_history_.era();
-        if (is_of_earlier_history || is_overdue(*part.pending_, change, base::clock::now())) {
+        const bool is_lost =
+            !part.store_.is_receiving() && is_overdue(*part.pending_, change, base::clock::now());
+        if (is_of_earlier_history || is_lost) {
             base::log_event(events::watch_interrupted,
                             {{"watched", watched},
                              {"after", std::to_string(part.pending_->after_.number())},
@@ -270,7 +272,8 @@
     // The poll of the fleet's keys retries more often and ends these delays once the store answers it.
     static constexpr platform::backoff_limits retry_limits{base::clock::duration{60},
                                                            base::clock::duration{2'000}};
-    // The store answers within milliseconds, so a call that takes this long is considered lost.
+    // The store answers within milliseconds, so a response that does not begin or go on for this long is
+    // considered lost.
     static constexpr base::clock::duration call_timeout{700};
     // Long, because every call to the store has a cost, a watch without changes too. A dead connection is
     // detected by its keep-alive probes within three seconds. The wait is shorter than the time for which
