Proxy: Give up a lost watch also while changes go on

Cause: the 700 ms after which a watch without a response counts as lost began anew with each later report of a peer, so changes at shorter intervals (of databases or of the configuration) kept a lost watch alive for as long as they went on. Now the time counts from the first report of a change that has not been received.

Evidence: pending_watch.IsOverdueWhileChangesGoOn fails on the former header and passes now.

--- a/libraries/proxy/pending_watch.hpp
+++ b/libraries/proxy/pending_watch.hpp
@@ -8,13 +8,23 @@
 
 namespace proxy {
 
-/// The newest change of a part of the store that a peer has reported. Thread safety: immutable value.
+/// The newest change of a part of the store that a peer has reported, and since when such a change has been
+/// owed. Thread safety: immutable value.
 class reported_change {
 public:
     /// Returns the state after a peer's report of a change at a revision of the store.
     [[nodiscard]] reported_change after_report(base::store_revision revision,
                                                base::clock::time_point now) const noexcept {
-        return revision.is_later_than(revision_) ? reported_change{revision, now} : *this;
+        if (!revision.is_later_than(revision_)) {
+            return *this;
+        }
+        const bool is_owed = revision_.is_later_than(received_);
+        return reported_change{revision, received_, is_owed ? reported_at_ : now};
+    }
+
+    /// Returns the state after this daemon has received the changes up to a revision.
+    [[nodiscard]] reported_change after_received(base::store_revision revision) const noexcept {
+        return revision.is_later_than(received_) ? reported_change{revision_, revision, reported_at_} : *this;
     }
 
     /// Returns the state after a read that showed the store at a revision. A report of a later one is
@@ -24,16 +34,19 @@
     }
 
     [[nodiscard]] base::store_revision revision() const noexcept { return revision_; }
+    /// Returns when the first report arrived of a change that has not been received since.
     [[nodiscard]] base::clock::time_point reported_at() const noexcept { return reported_at_; }
 
     reported_change() = default;
     friend auto operator<=>(const reported_change&, const reported_change&) = default;
 
 private:
-    reported_change(base::store_revision revision, base::clock::time_point now) noexcept
-        : revision_{revision}, reported_at_{now} {}
+    reported_change(base::store_revision revision, base::store_revision received,
+                    base::clock::time_point reported_at) noexcept
+        : revision_{revision}, received_{received}, reported_at_{reported_at} {}
 
     base::store_revision revision_;
+    base::store_revision received_;
     base::clock::time_point reported_at_{};
 };
 
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -56,7 +56,8 @@
                 // The history may no longer reach back to the last change of the key.
                 revision = item->read_at_;
                 note_received(control_.received_.configuration_, item->revision_);
-                control_.reported_configuration_ = control_.reported_configuration_.after_read(revision);
+                control_.reported_configuration_ =
+                    control_.reported_configuration_.after_read(revision).after_received(revision);
                 exchange_.apply_stored(item->value_, item->revision_, "read");
             } else {
                 co_await http::sleep_for(first_configuration_poll_interval);
@@ -78,7 +79,8 @@
                 continue;
             }
             delay.record_success();
-            control_.reported_databases_ = control_.reported_databases_.after_read(*start_revision);
+            control_.reported_databases_ =
+                control_.reported_databases_.after_read(*start_revision).after_received(*start_revision);
             control_.knowledge_.set_databases(listings, base::clock::now());
             control_.has_databases_ = true;
             control_.databases_era_ = start_revision->era();
@@ -168,6 +170,7 @@
                 co_return;
             }
             revision = later_of(revision, changes->at_);
+            control_.reported_configuration_ = control_.reported_configuration_.after_received(revision);
             for (const auto& event : changes->events_) {
                 note_received(control_.received_.configuration_, event.revision_);
                 if (event.value_) {
@@ -221,6 +224,7 @@
                 co_return;
             }
             revision = later_of(revision, changes->at_);
+            control_.reported_databases_ = control_.reported_databases_.after_received(revision);
             const auto now = base::clock::now();
             apply(*changes, now);
             control_.publish();
--- a/tests/proxy/test_pending_watch.cpp
+++ b/tests/proxy/test_pending_watch.cpp
@@ -37,11 +37,29 @@
     EXPECT_FALSE(proxy::is_overdue({revision_at(50), at(5'000)}, change, at(5'600)));
 }
 
-TEST(reported_change, KeepsTheNewestReport) {
+// Guards against a lost watch that is kept as long as peers report further changes at short intervals.
+TEST(pending_watch, IsOverdueWhileChangesGoOn) {
+    const proxy::pending_watch watch{revision_at(50), at(1'000)};
+    proxy::reported_change change;
+    for (std::uint64_t number = 0; number < 10; ++number) {
+        change = change.after_report(revision_at(51 + number), at(2'000 + 300 * static_cast<int>(number)));
+    }
+    EXPECT_EQ(change.revision(), revision_at(60));
+    EXPECT_TRUE(proxy::is_overdue(watch, change, at(2'700)));
+}
+
+TEST(reported_change, KeepsTheNewestReportAndTheTimeOfTheFirstThatIsOwed) {
     const auto first = proxy::reported_change{}.after_report(revision_at(51), at(10));
     EXPECT_EQ(first.after_report(revision_at(51), at(20)), first);
     EXPECT_EQ(first.after_report(revision_at(40), at(20)), first);
-    EXPECT_EQ(first.after_report(revision_at(52), at(20)).reported_at(), at(20));
+    const auto second = first.after_report(revision_at(52), at(20));
+    EXPECT_EQ(second.revision(), revision_at(52));
+    EXPECT_EQ(second.reported_at(), at(10));
+    // What has been received is owed no longer.
+    const auto third = second.after_received(revision_at(52)).after_report(revision_at(53), at(30));
+    EXPECT_EQ(third.reported_at(), at(30));
+    EXPECT_EQ(second.after_received(revision_at(51)).after_report(revision_at(53), at(30)).reported_at(),
+              at(10));
 }
 
 // Guards against watches that are given up again and again because of a report that is wrong.
