Proxy: Take the configuration from its own key only

What callers saw: with another key under the same prefix, such as op/config-draft, daemons that were running used that value as their configuration, and ignored the operator's next versions while theirs were lower: new routes were missing, other ones were served. Cause: the store's watch names a prefix, and each event under it was taken for the configuration. Daemons that started later read the key itself.

--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -172,6 +172,10 @@
             revision = later_of(revision, changes->at_);
             control_.reported_configuration_ = control_.reported_configuration_.after_received(revision);
             for (const auto& event : changes->events_) {
+                // The store watches a prefix, under which there may be other keys.
+                if (event.key_ != entries::configuration_key) {
+                    continue;
+                }
                 note_received(control_.received_.configuration_, event.revision_);
                 if (event.value_) {
                     exchange_.apply_stored(*event.value_, event.revision_, "watch");
--- a/tests/proxy/test_configuration.cpp
+++ b/tests/proxy/test_configuration.cpp
@@ -120,4 +120,17 @@
     EXPECT_TRUE(serves(fleet, daemon, "added"));
 }
 
+// Guards against a value under another key with the same prefix that is taken for the configuration.
+TEST(configuration, IsTakenFromItsOwnKeyOnly) {
+    session_fleet fleet{port_of_test(4)};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    publish(fleet, "op/config-draft", configuration(9, "draft"));
+    publish(fleet, "op/config", configuration(5, "added"));
+    EXPECT_TRUE(serves(fleet, daemon, "added"));
+    const session_client client{fleet.client_port(daemon), "draft"};
+    EXPECT_EQ(client.greeting(), "ERROR NODB draft");
+}
+
 } // namespace
