Proxy: Log a configuration whose item in the store cannot be decoded

A watch skipped such an event without a line and went on behind it, so that a daemon stayed with its version and nothing said why. It is logged with E112 and counted like any other configuration that cannot be used. No test: the stand-in encodes each value.

--- a/libraries/proxy/configuration_exchange.hpp
+++ b/libraries/proxy/configuration_exchange.hpp
@@ -76,16 +76,20 @@
     void apply_stored(const std::string& value, base::store_revision revision, std::string_view source) {
         const auto routes = Platform::entries::read_configuration(value);
         if (!routes) {
-            control_.shared_.counters_.configurations_rejected_.fetch_add(1, std::memory_order_relaxed);
-            base::log_event(events::configuration_unreadable,
-                            {{"reason", routes.last_reason().to_string()},
-                             {"revision", std::to_string(revision.number())},
-                             {"source", std::string{source}}});
+            reject(routes.last_reason().to_string(), revision, source);
             return;
         }
         spread_->accept_from_store(*routes, value, source);
     }
 
+    /// Counts and logs that a configuration cannot be used, so that the one before it stays in force.
+    void reject(const std::string& reason, base::store_revision revision, std::string_view source) {
+        control_.shared_.counters_.configurations_rejected_.fetch_add(1, std::memory_order_relaxed);
+        base::log_event(events::configuration_unreadable, {{"reason", reason},
+                                                           {"revision", std::to_string(revision.number())},
+                                                           {"source", std::string{source}}});
+    }
+
     /// Fetches newer configurations from peers when the store has not delivered them, until the process ends.
     [[nodiscard]] boost::asio::awaitable<void> fetch_overdue() {
         for (;;) {
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -181,6 +181,11 @@
                     exchange_.apply_stored(*event.value_, event.revision_, "watch");
                 }
             }
+            for (const auto& key : changes->undecodable_keys_) {
+                if (key == entries::configuration_key) {
+                    exchange_.reject("the store's item cannot be decoded", changes->at_, "watch");
+                }
+            }
         }
     }
 
