Proxy: Send clients that a newer configuration may admit to another daemon sooner

Another daemon mostly has the newer version, so the wait is 300 ms, and the fetch from peers begins 1 s after the first report (1.5 s).

--- a/libraries/proxy/client_session.hpp
+++ b/libraries/proxy/client_session.hpp
@@ -314,9 +314,10 @@
         }
     }
 
-    /// Waits while the session is not admitted and a newer configuration is known, which may admit it.
+    /// Waits while the session is not admitted and a newer configuration is known, which may admit it. Mostly
+    /// it arrives at once; otherwise the client is served sooner by another daemon.
     [[nodiscard]] boost::asio::awaitable<void> wait_for_newer_configuration() {
-        const auto end = accepted_at_ + configuration_timeout;
+        const auto end = base::clock::now() + newer_configuration_timeout;
         while (shared_.configuration_lag_.is_behind() && !is_admitted() && base::clock::now() < end) {
             co_await http::sleep_for(configuration_poll_interval);
         }
@@ -845,6 +846,8 @@
     static constexpr const char* session_full = "the session holds too many values and prepared statements";
     // Below the two seconds after which clients abandon a session that has not started.
     static constexpr base::clock::duration configuration_timeout{1'700};
+    // Several times the time that a watch takes to deliver a change.
+    static constexpr base::clock::duration newer_configuration_timeout{300};
     static constexpr base::clock::duration configuration_poll_interval{20};
     // A client that disappeared without closing its connection is detected by the next response sent to it.
     static constexpr base::clock::duration unacknowledged_data_timeout{10'000};
--- a/libraries/proxy/configuration_exchange.hpp
+++ b/libraries/proxy/configuration_exchange.hpp
@@ -169,8 +169,8 @@
     }
 
     static constexpr base::clock::duration check_interval{200};
-    // The end of a lost watch and a read of the store are over by then.
-    static constexpr base::clock::duration delivery_limit{1'500};
+    // By then a watch has delivered the change, or was given up as lost.
+    static constexpr base::clock::duration delivery_limit{1'000};
     // Enough for the largest value of the store over 2 Mbit/s.
     static constexpr base::clock::duration fetch_timeout{5'000};
     static constexpr base::clock::duration unused_timeout{2'000};
