Proxy: Forget a newer configuration that no peer reports any more

A daemon that had heard of a version which then existed nowhere (its only holder ended, and the store came back from a copy) would have sent clients away with THROTTLED, and asked its peers, for good. Peers repeat what they use every 0.4 s, so a version that was not reported for 3 s is forgotten. Cases of configuration_lag.* and the five of configuration.* pass.

--- a/libraries/proxy/configuration_exchange.hpp
+++ b/libraries/proxy/configuration_exchange.hpp
@@ -94,8 +94,9 @@
     [[nodiscard]] boost::asio::awaitable<void> fetch_overdue() {
         for (;;) {
             co_await http::sleep_for(check_interval);
-            const auto& lag = control_.lag();
-            if (lag.since() && base::clock::now() - *lag.since() >= delivery_limit) {
+            const auto now = base::clock::now();
+            const auto& lag = control_.lag_at(now);
+            if (lag.since() && now - *lag.since() >= delivery_limit) {
                 announce_sources(lag);
             }
         }
--- a/libraries/proxy/configuration_lag.hpp
+++ b/libraries/proxy/configuration_lag.hpp
@@ -20,10 +20,17 @@
     /// Returns the state after a peer's report of the version that it uses.
     [[nodiscard]] configuration_lag after_report(std::uint64_t reported, std::uint64_t in_force,
                                                  const std::string& peer, base::clock::time_point now) const {
-        if (reported <= in_force || reported <= version_) {
+        if (reported <= in_force || reported < version_) {
             return *this;
         }
-        return configuration_lag{reported, peer, since_.value_or(now)};
+        return configuration_lag{reported, peer, since_.value_or(now), now};
+    }
+
+    /// Returns the state at a moment: a version that no peer has reported for a while is forgotten, because
+    /// its daemon may have been the only one that knew it, and have ended.
+    [[nodiscard]] configuration_lag at(base::clock::time_point now) const {
+        constexpr base::clock::duration max_silence{3'000};
+        return since_ && now - reported_at_ > max_silence ? configuration_lag{} : *this;
     }
 
     /// Returns the state after a configuration came into force.
@@ -40,12 +47,14 @@
     friend auto operator<=>(const configuration_lag&, const configuration_lag&) = default;
 
 private:
-    configuration_lag(std::uint64_t version, std::string peer, base::clock::time_point since)
-        : version_{version}, peer_{std::move(peer)}, since_{since} {}
+    configuration_lag(std::uint64_t version, std::string peer, base::clock::time_point since,
+                      base::clock::time_point reported_at)
+        : version_{version}, peer_{std::move(peer)}, since_{since}, reported_at_{reported_at} {}
 
     std::uint64_t version_ = 0;
     std::string peer_;
     std::optional<base::clock::time_point> since_;
+    base::clock::time_point reported_at_{};
 };
 
 /// Since when a newer configuration than the one in force is known, published to all threads. Thread safety:
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -177,7 +177,10 @@
     }
 
     /// Returns what is known of a configuration that is newer than the one in force.
-    [[nodiscard]] const configuration_lag& lag() const noexcept { return configuration_lag_; }
+    [[nodiscard]] const configuration_lag& lag_at(base::clock::time_point now) {
+        set_configuration_lag(configuration_lag_.at(now));
+        return configuration_lag_;
+    }
 
     /// Probes whether the primary of a service answers this daemon.
     void probe_primary(const std::string& service) {
--- a/libraries/proxy/store_watchers.hpp
+++ b/libraries/proxy/store_watchers.hpp
@@ -140,7 +140,7 @@
 
     /// Logs once for each newer version that it has not arrived, long after a watch would have delivered it.
     void report_lag(base::clock::time_point now) {
-        const auto& lag = control_.lag();
+        const auto& lag = control_.lag_at(now);
         if (!lag.since() || now - *lag.since() < reported_lag || lag.version() == last_logged_version_) {
             return;
         }
