Adapter: Take the configuration's numbers in any notation of JSON

A number written as 800.0 or 8e2 rejected the whole configuration, so that the daemons kept the one before it until a later version was written otherwise; a staleness or idle limit written so was taken for absent. Whole numbers are taken in any notation, durations are rounded to milliseconds. Entries of databases stay strict, since other writers may leave anything there.

--- a/tests/adapter/test_tenant_entries.cpp
+++ b/tests/adapter/test_tenant_entries.cpp
@@ -56,6 +56,26 @@
     EXPECT_EQ(routes->tenant_of_key_.at(key_digest::of("k7")), "koro7");
 }
 
+// Guards against a configuration that is rejected, or loses a limit, because of how its numbers are written.
+TEST(configuration_entries, TakesNumbersInAnyNotation) {
+    const std::string text{
+        R"({"version":7.0,"routes":[{"name":"r","database-name":"kafi500","type":"bounded_staleness","timeout-ms":812.6,)"
+        R"("target-latency-ms":2e2,"priority":1.0,"service":"huvo11a","max-staleness-ms":1500.0}],)"
+        R"("services":[{"name":"huvo11a","max-connections":72.0}],"limits":{"tx-idle-ms":700.0}})"};
+    const auto routes = read(text);
+    ASSERT_TRUE(routes);
+    EXPECT_EQ(routes->version_, 7U);
+    const auto& route = routes->routes_.at("kafi500");
+    EXPECT_EQ(route->timeout_, base::clock::duration{813});
+    EXPECT_EQ(route->objective_, base::clock::duration{200});
+    EXPECT_EQ(route->priority_, 1U);
+    EXPECT_EQ(route->staleness_, base::clock::duration{1'500});
+    EXPECT_EQ(routes->services_.at("huvo11a"), 72U);
+    EXPECT_EQ(routes->transaction_idle_, base::clock::duration{700});
+    // A version is no amount.
+    EXPECT_FALSE(read(R"({"version":7.5,"routes":[],"services":[]})"));
+}
+
 // Guards against a limit for tenants that have none.
 TEST(tenant_entries, TakesAbsentLimitsForUnlimited) {
     EXPECT_EQ(read_tenant({}), (operators::tenant_limits{"miny420", 0, std::nullopt, 0}));
