Soak, Tests: Let the store reject one daemon for longer than a configuration may take

Why the soak missed the incident: it counted a daemon whose link to the store was cut as out of contact, and no cut was as long as the 5 s that a configuration may take. In half of the seeds the store now rejects one daemon for 11 of 15 s; that daemon keeps the limits, since its peers have each configuration.

The soak's fault_link moves to the stand-ins, and the tests of the configuration use it in place of a second link of their own. No change of the product.

--- a/utilities/sassafras_soak/fault_link.cpp
+++ b/stand_ins/session_platform/fault_link.cpp
@@ -1,4 +1,4 @@
-#include <utilities/sassafras_soak/fault_link.hpp>
+#include <stand_ins/session_platform/fault_link.hpp>
 
 #include <http/sleep.hpp>
 
@@ -13,7 +13,7 @@
 #include <array>
 #include <utility>
 
-namespace soak {
+namespace stand_ins {
 
 namespace asio = boost::asio;
 
@@ -67,6 +67,13 @@
     }
 }
 
+void fault_link::set_rejecting(bool is_rejecting) {
+    is_rejecting_ = is_rejecting;
+    if (is_rejecting) {
+        close_connections();
+    }
+}
+
 void fault_link::close_connections() {
     for (const auto& one : connections_) {
         if (const auto open = one.lock()) {
@@ -92,7 +99,7 @@
     const asio::ip::tcp::endpoint to{asio::ip::make_address(self->target_.address()), self->target_.port()};
     co_await target.async_connect(to, asio::redirect_error(asio::use_awaitable, failure));
     auto through = std::make_shared<connection>(std::move(source), std::move(target));
-    if (failure || self->fault_ == link_fault::reset) {
+    if (failure || self->is_rejecting_ || self->fault_ == link_fault::reset) {
         through->reset();
         co_return;
     }
@@ -134,4 +141,4 @@
     }
 }
 
-} // namespace soak
+} // namespace stand_ins
--- a/utilities/sassafras_soak/fault_link.hpp
+++ b/stand_ins/session_platform/fault_link.hpp
@@ -11,7 +11,7 @@
 #include <memory>
 #include <vector>
 
-namespace soak {
+namespace stand_ins {
 
 /// What a link does to the connections that run over it.
 enum class link_fault : std::uint8_t {
@@ -37,6 +37,8 @@
     /// Connections that were open during `silent` stay silent for good, as if a device in between forgot
     /// them.
     void set_fault(link_fault fault);
+    /// Resets the open connections and each new one from now on, or no longer, whatever the fault is.
+    void set_rejecting(bool is_rejecting);
     void close_connections();
 
 private:
@@ -54,7 +56,8 @@
     base::endpoint target_;
     std::shared_ptr<http::listener> listener_;
     link_fault fault_ = link_fault::none;
+    bool is_rejecting_ = false;
     std::vector<std::weak_ptr<connection>> connections_;
 };
 
-} // namespace soak
+} // namespace stand_ins
--- a/tests/proxy/session_fleet.cpp
+++ b/tests/proxy/session_fleet.cpp
@@ -145,7 +145,7 @@
     store_ = std::make_unique<stand_ins::store_server>(context_.get_executor(), promote);
     const base::endpoint store_address{"127.0.0.1", static_cast<std::uint16_t>(first_port_ + store_offset)};
     EXPECT_TRUE(store_->listen(store_address));
-    link_ = std::make_unique<stand_ins::store_link>(context_.get_executor(), store_address);
+    link_ = std::make_shared<stand_ins::fault_link>(context_.get_executor(), store_address);
     EXPECT_TRUE(link_->listen({"127.0.0.1", static_cast<std::uint16_t>(first_port_ + link_offset)}));
     for (std::size_t number = 0; number < database_count; ++number) {
         const auto port = static_cast<std::uint16_t>(first_port_ + database_offset + number);
--- a/tests/proxy/session_fleet.hpp
+++ b/tests/proxy/session_fleet.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <stand_ins/session_platform/fault_link.hpp>
 #include <stand_ins/session_platform/line_database.hpp>
-#include <stand_ins/session_platform/store_link.hpp>
 #include <stand_ins/session_platform/store_server.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -86,7 +86,7 @@
     void run_on_stand_in_thread(const std::function<void(session_fleet&)>& function);
 
     [[nodiscard]] stand_ins::store_server& store() noexcept { return *store_; }
-    [[nodiscard]] stand_ins::store_link& link() noexcept { return *link_; }
+    [[nodiscard]] stand_ins::fault_link& link() noexcept { return *link_; }
     [[nodiscard]] stand_ins::line_database& database(std::size_t number) { return *databases_.at(number); }
     /// Writes the server list entry of a database.
     void list_database(std::size_t number, bool is_primary, bool is_draining);
@@ -100,7 +100,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
     std::uint16_t first_port_;
     std::unique_ptr<stand_ins::store_server> store_;
-    std::unique_ptr<stand_ins::store_link> link_;
+    std::shared_ptr<stand_ins::fault_link> link_;
     std::vector<std::shared_ptr<stand_ins::line_database>> databases_;
     std::vector<std::string> promotions_;
     std::vector<pid_t> daemons_;
--- a/tests/proxy/test_configuration.cpp
+++ b/tests/proxy/test_configuration.cpp
@@ -85,19 +85,15 @@
     EXPECT_FALSE(client.greeting().starts_with("ERROR NODB")) << client.greeting();
 }
 
-// The largest value of the store, over the slowest link of a host: the transfer takes 1.1 s.
-constexpr std::size_t largest_value = 1'048'576;
-constexpr std::size_t bytes_per_second = 1'250'000;
-
 void slow_down_link(session_fleet& fleet) {
     fleet.run_on_stand_in_thread(
-        [](session_fleet& fixture) { fixture.link().set_bandwidth(bytes_per_second); });
+        [](session_fleet& fixture) { fixture.link().set_fault(stand_ins::link_fault::delayed); });
 }
 
-void publish_largest(session_fleet& fleet) {
-    const auto value = configuration(5, "added", largest_value - 1'000);
-    EXPECT_LE(value.size(), largest_value);
-    publish(fleet, "op/config", value);
+/// Publishes a configuration whose transfer over the slow link takes about three seconds.
+void publish_large(session_fleet& fleet) {
+    constexpr std::size_t size = 400'000;
+    publish(fleet, "op/config", configuration(5, "added", size));
 }
 
 // Guards against a configuration that never arrives because its transfer takes longer than a lost call.
@@ -105,7 +101,7 @@
     session_fleet fleet{port_of_test(2)};
     const auto daemon = start_daemons(fleet);
     slow_down_link(fleet);
-    publish_largest(fleet);
+    publish_large(fleet);
     EXPECT_TRUE(serves(fleet, daemon, "added"));
 }
 
@@ -114,7 +110,7 @@
     session_fleet fleet{port_of_test(3)};
     fleet.publish_all();
     slow_down_link(fleet);
-    publish_largest(fleet);
+    publish_large(fleet);
     const auto daemon = fleet.start_daemon({}, {}, store_path::link);
     ASSERT_TRUE(fleet.becomes_ready(daemon));
     EXPECT_TRUE(serves(fleet, daemon, "added"));
--- a/tests/soak/test_fault_schedule.cpp
+++ b/tests/soak/test_fault_schedule.cpp
@@ -47,6 +47,21 @@
     EXPECT_TRUE(is_any_pair_close);
 }
 
+// Guards against rejections that no seed plays, or that a configuration may outlast.
+TEST(fault_schedule, RejectsADaemonInSomeSeedsForLongerThanAConfigurationMayTake) {
+    std::set<bool> plays;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        const auto rejection = soak::make_store_rejection(seed, length);
+        EXPECT_EQ(rejection, soak::make_store_rejection(seed, length));
+        plays.insert(rejection.has_value());
+        if (rejection) {
+            EXPECT_GT(rejection->length_, base::clock::duration{5'000});
+            EXPECT_LT(rejection->at_ + rejection->length_, length);
+        }
+    }
+    EXPECT_EQ(plays.size(), 2U);
+}
+
 // Guards against a kind of fault that no seed plays.
 TEST(fault_schedule, PlaysEveryKindWithinAFewSeeds) {
     std::set<soak::fault_kind> kinds;
--- a/utilities/sassafras_soak/database_group.cpp
+++ b/utilities/sassafras_soak/database_group.cpp
@@ -29,7 +29,7 @@
         one.database_ = std::make_shared<stand_ins::line_database>(executor_, service_,
                                                                    service_ + "-" + std::to_string(number));
         one.database_->set_primary(number == leader_, term_);
-        one.link_ = std::make_shared<fault_link>(
+        one.link_ = std::make_shared<stand_ins::fault_link>(
             executor_, base::endpoint{"127.0.0.1", static_cast<std::uint16_t>(one.port_ + 1)});
         members_.push_back(std::move(one));
     }
--- a/utilities/sassafras_soak/database_group.hpp
+++ b/utilities/sassafras_soak/database_group.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <base/clock.hpp>
+#include <stand_ins/session_platform/fault_link.hpp>
 #include <stand_ins/session_platform/line_database.hpp>
 #include <stand_ins/session_platform/store_server.hpp>
-#include <utilities/sassafras_soak/fault_link.hpp>
 #include <utilities/sassafras_soak/history_check.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -36,7 +36,7 @@
     [[nodiscard]] std::size_t size() const noexcept { return members_.size(); }
     /// Returns the database that leads the newest term.
     [[nodiscard]] std::size_t leader() const noexcept { return leader_; }
-    [[nodiscard]] fault_link& link(std::size_t number) { return *members_.at(number).link_; }
+    [[nodiscard]] stand_ins::fault_link& link(std::size_t number) { return *members_.at(number).link_; }
     [[nodiscard]] stand_ins::line_database& database(std::size_t number) {
         return *members_.at(number).database_;
     }
@@ -55,7 +55,7 @@
 private:
     struct member {
         std::shared_ptr<stand_ins::line_database> database_;
-        std::shared_ptr<fault_link> link_;
+        std::shared_ptr<stand_ins::fault_link> link_;
         std::uint16_t port_ = 0;
         std::optional<base::clock::time_point> down_until_;
         std::optional<base::clock::time_point> isolated_until_;
--- a/utilities/sassafras_soak/fault_schedule.cpp
+++ b/utilities/sassafras_soak/fault_schedule.cpp
@@ -48,6 +48,7 @@
 constexpr base::clock::rep longest_gap_of_returns_ms = 6'000;
 // Draws the returns apart from the faults of the same seed.
 constexpr std::uint64_t numbers_of_returns = 0x9E3779B97F4A7C15;
+constexpr std::uint64_t numbers_of_rejections = 0xD1B54A32D192ED03;
 
 class random_numbers {
 public:
@@ -113,6 +114,15 @@
     return returns;
 }
 
+std::optional<store_rejection> make_store_rejection(std::uint64_t seed, base::clock::duration length) {
+    random_numbers random{seed ^ numbers_of_rejections};
+    if (random.below(2) == 0) {
+        return std::nullopt;
+    }
+    const auto eighth = length / 8;
+    return store_rejection{eighth, 6 * eighth, static_cast<std::uint32_t>(random.below(UINT32_MAX))};
+}
+
 std::vector<key_change> make_key_changes(std::uint64_t seed, base::clock::duration length, std::uint32_t keys,
                                          std::uint32_t tenants) {
     random_numbers random{~seed};
--- a/utilities/sassafras_soak/fault_schedule.hpp
+++ b/utilities/sassafras_soak/fault_schedule.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -76,6 +77,22 @@
 /// beside the faults of `make_schedule`, and their numbers are drawn apart from it. Thread safety: pure.
 [[nodiscard]] std::vector<store_return> make_store_returns(std::uint64_t seed, base::clock::duration length);
 
+/// The store rejects one daemon for longer than a configuration may take, and serves the others.
+struct store_rejection {
+    /// Since the start of the traffic.
+    base::clock::duration at_{0};
+    base::clock::duration length_{0};
+    /// Taken modulo the number of daemons.
+    std::uint32_t daemon_ = 0;
+
+    friend auto operator<=>(const store_rejection&, const store_rejection&) = default;
+};
+
+/// Returns a rejection for half of the seeds. It comes beside the faults of `make_schedule`, and its numbers
+/// are drawn apart from them. Thread safety: pure.
+[[nodiscard]] std::optional<store_rejection> make_store_rejection(std::uint64_t seed,
+                                                                  base::clock::duration length);
+
 /// From a time on, a key belongs to another tenant, or to none.
 struct key_change {
     /// Since the start of the traffic.
--- a/utilities/sassafras_soak/soak_run.cpp
+++ b/utilities/sassafras_soak/soak_run.cpp
@@ -16,6 +16,7 @@
 namespace soak {
 
 namespace asio = boost::asio;
+using stand_ins::link_fault;
 
 namespace {
 
@@ -148,7 +149,7 @@
             "entry" + std::to_string(number),      first,
             static_cast<std::uint16_t>(first + 1), static_cast<std::uint16_t>(first + 2),
             static_cast<std::uint16_t>(first + 3), static_cast<std::uint16_t>(first + 4)};
-        auto link = std::make_shared<fault_link>(
+        auto link = std::make_shared<stand_ins::fault_link>(
             context_.get_executor(),
             base::endpoint{"127.0.0.1", static_cast<std::uint16_t>(settings_.first_port_ + store_offset)});
         if (!link->listen({"127.0.0.1", addresses.store_})) {
@@ -248,6 +249,20 @@
     }
 }
 
+asio::awaitable<void> soak_run::reject_daemon(base::clock::time_point started_at, std::ostream& progress) {
+    const auto rejection = make_store_rejection(settings_.seed_, settings_.length_);
+    if (!rejection) {
+        co_return;
+    }
+    const auto daemon = rejection->daemon_ % daemons_.size();
+    progress << "  " << rejection->at_.count() << " ms: store_rejection of entry" << daemon << " for "
+             << rejection->length_.count() << " ms\n";
+    co_await http::sleep_for(started_at + rejection->at_ - base::clock::now());
+    store_links_.at(daemon)->set_rejecting(true);
+    co_await http::sleep_for(rejection->length_);
+    store_links_.at(daemon)->set_rejecting(false);
+}
+
 void soak_run::note_lost_contact(std::uint32_t daemon, base::clock::duration length) {
     const auto now = base::clock::now();
     keys_.lost_.push_back({daemon, now, now + length});
@@ -280,6 +295,9 @@
     if (settings_.store_absence_ != store_absence::none) {
         asio::co_spawn(context_, return_store(started_at, progress), asio::detached);
     }
+    if (settings_.has_faults_) {
+        asio::co_spawn(context_, reject_daemon(started_at, progress), asio::detached);
+    }
     const auto schedule = settings_.has_faults_ ? make_schedule(settings_.seed_, settings_.length_)
                                                 : std::vector<scheduled_fault>{};
     for (const auto& fault : schedule) {
@@ -391,7 +409,8 @@
     }
 }
 
-asio::awaitable<void> soak_run::harm_link(fault_link& link, link_fault fault, base::clock::duration length) {
+asio::awaitable<void> soak_run::harm_link(stand_ins::fault_link& link, link_fault fault,
+                                          base::clock::duration length) {
     link.set_fault(fault);
     co_await http::sleep_for(length);
     link.set_fault(link_fault::none);
--- a/utilities/sassafras_soak/soak_run.hpp
+++ b/utilities/sassafras_soak/soak_run.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <base/clock.hpp>
+#include <stand_ins/session_platform/fault_link.hpp>
 #include <stand_ins/session_platform/store_server.hpp>
 #include <utilities/sassafras_soak/daemon_process.hpp>
 #include <utilities/sassafras_soak/database_group.hpp>
-#include <utilities/sassafras_soak/fault_link.hpp>
 #include <utilities/sassafras_soak/fault_schedule.hpp>
 #include <utilities/sassafras_soak/soak_client.hpp>
 #include <utilities/sassafras_soak/tenant_check.hpp>
@@ -77,14 +77,17 @@
     [[nodiscard]] boost::asio::awaitable<void> copy_store();
     [[nodiscard]] boost::asio::awaitable<void> return_store(base::clock::time_point started_at,
                                                             std::ostream& progress);
+    /// Lets the store reject one daemon, which its peers keep up to date, so that no contact counts as lost.
+    [[nodiscard]] boost::asio::awaitable<void> reject_daemon(base::clock::time_point started_at,
+                                                             std::ostream& progress);
     /// Notes that a daemon has no contact with the store for some time from now on.
     void note_lost_contact(std::uint32_t daemon, base::clock::duration length);
     void check_names_of_connections();
     [[nodiscard]] boost::asio::awaitable<void> conduct(std::ostream& progress);
     [[nodiscard]] boost::asio::awaitable<void> keep_daemons_running();
     [[nodiscard]] boost::asio::awaitable<void> strike(scheduled_fault fault);
-    [[nodiscard]] boost::asio::awaitable<void> harm_link(fault_link& link, link_fault fault,
-                                                         base::clock::duration length);
+    [[nodiscard]] boost::asio::awaitable<void>
+    harm_link(stand_ins::fault_link& link, stand_ins::link_fault fault, base::clock::duration length);
     [[nodiscard]] boost::asio::awaitable<void> harm_store(fault_kind kind, base::clock::duration length);
     void strike_daemons(fault_kind kind, daemon_process& one);
     void strike_databases(const scheduled_fault& fault, database_group& group);
@@ -98,7 +101,7 @@
     boost::asio::io_context context_;
     std::unique_ptr<stand_ins::store_server> store_;
     std::vector<std::unique_ptr<database_group>> groups_;
-    std::vector<std::shared_ptr<fault_link>> store_links_;
+    std::vector<std::shared_ptr<stand_ins::fault_link>> store_links_;
     std::vector<std::unique_ptr<daemon_process>> daemons_;
     std::vector<std::unique_ptr<soak_client>> clients_;
     client_plan plan_;
