Tests, Stand-ins: Wait until a statement is queued before its key moves

Nothing had run under the former tenant. The test sent its statement and published the configuration at once, so that beside load the daemon could use the new version before it had read the statement, which then rightly ran for the new tenant.

The primary no longer crashes in this test. The statement waits for the connection that is opened for it; its START names the tenant that the statement was queued under, so the version is published after that, and the answer to START is released once the daemon uses it. The stand-in therefore applies a changed delay to answers that already wait. The wait for a new primary remains in RefusesQueuedStatementsOfAWithdrawnKey.

--- a/stand_ins/session_platform/line_database.cpp
+++ b/stand_ins/session_platform/line_database.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::size_t max_line_bytes = std::size_t{1024} * 1024;
+constexpr base::clock::duration delay_check_interval{5};
 
 std::string take_word(std::string& text) {
     const auto blank = text.find(' ');
@@ -116,8 +117,9 @@
             socket->close();
             co_return;
         }
-        if (self->answer_delay_ > base::clock::duration{0}) {
-            co_await http::sleep_for(self->answer_delay_);
+        const auto received_at = base::clock::now();
+        while (base::clock::now() < received_at + self->answer_delay_) {
+            co_await http::sleep_for(delay_check_interval);
         }
         const bool is_sent = co_await socket->write(std::move(reply));
         if (!is_sent) {
--- a/stand_ins/session_platform/line_database.hpp
+++ b/stand_ins/session_platform/line_database.hpp
@@ -75,7 +75,7 @@
     void follow(const line_database& leader, base::clock::time_point committed_until);
     /// Runs writes from now on without answering, and closes their connections.
     void set_losing_answers(bool is_losing) { is_losing_ = is_losing; }
-    /// Answers each message this much later from now on.
+    /// Answers each message this much later from now on, also those that already wait for their answer.
     void set_answer_delay(base::clock::duration delay) { answer_delay_ = delay; }
     /// Answers each `BEGIN` with this error line from now on, without running it; empty to run them again.
     void set_begin_error(std::string error) { begin_error_ = std::move(error); }
--- a/tests/proxy/test_tenants.cpp
+++ b/tests/proxy/test_tenants.cpp
@@ -353,13 +353,14 @@
 TEST_F(tenants, RunsNoQueuedStatementUnderTheFormerTenantOfAKey) {
     start(9);
     const auto single = open("payouts", koro_key);
-    EXPECT_TRUE(single->run("STORE a 0").starts_with("COMPLETE sig."));
-    fleet_->run_on_stand_in_thread([](session_fleet& fixture) { fixture.database(0).crash(); });
-    // The daemon sees that its connections have ended.
-    std::this_thread::sleep_for(milliseconds{100});
+    ASSERT_FALSE(names_given_to_databases().contains("koro7"));
+    delay_answers(apply_limit + check_limit);
     ASSERT_TRUE(single->send("STORE a 1"));
+    // The connection that the statement waits for shows the tenant that the statement was queued under.
+    ASSERT_TRUE(holds_within(check_limit, [this] { return names_given_to_databases().contains("koro7"); }));
     fleet_->publish_tenants(first_version + 1, moved);
     ASSERT_TRUE(uses(first_version + 1));
+    delay_answers(milliseconds{0});
     const auto response = single->read_response();
     EXPECT_TRUE(response.starts_with("ERROR THROTTLED ")) << response;
     EXPECT_FALSE(fleet_->has_reached_a_database("STORE a 1"));
