Proxy, Adapter: Check the leadership again when a promotion call is connected

Callers: none saw it in the case; a platform that does not check fences would carry out the late call and change the primary once more.

Cause: the leadership was checked before the promotion client connected, which takes up to 600 ms, and not again before the call was sent.

--- a/libraries/backends/primary_promoter.hpp
+++ b/libraries/backends/primary_promoter.hpp
@@ -5,6 +5,7 @@
 #include <compare>
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace backends {
@@ -30,10 +31,13 @@
     response_lost,
 };
 
-/// Requires a type that asks the platform to promote a database. Production code uses the platform's adapter.
+/// Requires a type that asks the platform to promote a database. Once it is connected it calls `may_send`,
+/// and sends nothing if that returns false: the leadership may have ended meanwhile. Production code uses the
+/// platform's adapter.
 template <typename Promoter>
-concept primary_promoter = requires(Promoter& promoter, promotion_request request) {
-    { promoter.promote(request) } -> std::same_as<boost::asio::awaitable<promotion_outcome>>;
+concept primary_promoter = requires(Promoter& promoter, promotion_request request,
+                                    std::function<bool()> may_send) {
+    { promoter.promote(request, may_send) } -> std::same_as<boost::asio::awaitable<promotion_outcome>>;
 };
 
 } // namespace backends
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -24,6 +24,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <exception>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -601,8 +602,11 @@
         state.is_target_refused_ = false;
         backends::promotion_request request{current.service_, candidate, control_.settings_->name_,
                                             daemons::fencing_token(current.claim_.leadership_)};
+        std::function<bool()> may_send{[this, &current] {
+            return may_promote(current);
+        }};
         ++control_.pending_promotions_;
-        const auto outcome = co_await promoter_.promote(std::move(request));
+        const auto outcome = co_await promoter_.promote(std::move(request), std::move(may_send));
         --control_.pending_promotions_;
         log_step(current, "promote", candidate + " outcome " + std::to_string(static_cast<int>(outcome)));
         const auto now = base::clock::now();
