Proxy, Backends: Promote another database when accepted requests have no effect

Cause: a planned takeover makes the old primary step down and then promotes another database. Two returns of the store undid its record after the step down. The next takeover chose the old primary again, which had received most; the platform still counts it as the present primary, so it answers 200 and changes nothing. A database whose promotion was requested stayed the only choice until the platform refuses it, which never happens.

Change: after two accepted requests in a row, with the database reporting itself as a replica 3 s after each, it is given up as the target as after a refusal. Daemons use only the database that the record names, and the platform gives that one the later term, so a late effect at the first one makes no second primary for callers.

Evidence: PromotesAnotherDatabaseWhenPromotionsHaveNoEffect promotes none with the daemon before, i-2 with this one.

--- a/libraries/backends/promotion_choice.cpp
+++ b/libraries/backends/promotion_choice.cpp
@@ -10,6 +10,7 @@
 
 // A promotion takes about 1 s; 3 s also covers a platform that is slow to start it.
 constexpr base::clock::duration max_promotion_duration{3'000};
+constexpr std::uint32_t max_ineffective_requests = 2;
 
 } // namespace
 
@@ -46,6 +47,10 @@
     return !since_earlier_request || *since_earlier_request > max_promotion_duration;
 }
 
+bool is_promotion_futile(std::uint32_t ineffective_requests) noexcept {
+    return ineffective_requests >= max_ineffective_requests;
+}
+
 promotion_choice choose_promotion(const promotion_state& state) {
     if (state.target_ && !state.is_target_refused_) {
         const auto step = state.is_target_leading_ ? promotion_step::complete : promotion_step::request;
--- a/libraries/backends/promotion_choice.hpp
+++ b/libraries/backends/promotion_choice.hpp
@@ -27,11 +27,15 @@
     std::optional<std::string> target_;
     /// Whether `target_` was observed to be the primary, or lists itself as the primary.
     bool is_target_leading_ = false;
-    /// Whether the platform refused the last request for `target_`, so that it will not take effect.
+    /// Whether the platform refused the last request for `target_` or requests for it proved futile, so that
+    /// none will take effect.
     bool is_target_refused_ = false;
+    /// How many requests for `target_` in a row the platform accepted although the database still reported
+    /// itself as a replica when their effect was due.
+    std::uint32_t ineffective_requests_ = 0;
     /// The term of the last known primary; 0 if no promotion was ever requested for the service.
     std::uint64_t primary_term_ = 0;
-    /// Databases that the platform has refused.
+    /// Databases that the platform has refused, or whose requests proved futile.
     std::set<std::string> refused_;
     /// The end of the replaced primary's log, if that primary reported it.
     std::optional<base::log_position> final_position_;
@@ -66,9 +70,10 @@
                                            const promotion_candidate& candidate);
 
 /// Chooses the next step. A database whose promotion was requested remains the only choice until the platform
-/// refuses it: the request may take effect at any time, and the group would then have a second primary.
-/// Otherwise the candidate whose received position is greatest is chosen, except one that may be a replaced
-/// primary: its role would be taken as proof that its promotion took effect. Thread safety: pure function.
+/// refuses it or requests for it prove futile: the request may take effect at any time, and the group would
+/// then have a second primary. Otherwise the candidate whose received position is greatest is chosen, except
+/// one that may be a replaced primary: its role would be taken as proof that its promotion took effect.
+/// Thread safety: pure function.
 [[nodiscard]] promotion_choice choose_promotion(const promotion_state& state);
 
 /// Returns the database that leads a service by what its databases report: the only one that is the primary
@@ -84,4 +89,9 @@
 /// the earlier request; empty when there was none. Thread safety: pure function.
 [[nodiscard]] bool is_refusal_final(std::optional<base::clock::duration> since_earlier_request) noexcept;
 
+/// Returns whether accepted requests without effect show that the database will not become the primary. The
+/// platform accepts a request for the database that it promoted last and changes nothing, also if that one
+/// has stepped down since. A single request may take effect late. Thread safety: pure function.
+[[nodiscard]] bool is_promotion_futile(std::uint32_t ineffective_requests) noexcept;
+
 } // namespace backends
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -597,6 +597,7 @@
         }
         if (state.target_ != candidate) {
             current.promotion_requested_at_.reset();
+            state.ineffective_requests_ = 0;
         }
         state.target_ = candidate;
         state.is_target_refused_ = false;
@@ -629,6 +630,32 @@
         }
         current.new_term_ = daemons::unknown_term;
         state.is_target_leading_ = co_await wait_until_primary(current, candidate);
+        if (outcome != backends::promotion_outcome::accepted) {
+            state.ineffective_requests_ = 0;
+        } else if (!state.is_target_leading_) {
+            co_await note_ineffective_request(current, std::move(candidate), state);
+        }
+    }
+
+    /// Gives a database up as the target if requests for its promotion are accepted without effect.
+    /// Precondition: the effect of the last request is overdue.
+    boost::asio::awaitable<void> note_ineffective_request(const takeover& current, std::string candidate,
+                                                          backends::promotion_state& state) {
+        const auto listing = control_.knowledge_.find_database(candidate);
+        if (!listing) {
+            co_return;
+        }
+        auto status_request = protocol::status();
+        const auto report = co_await send_request(*listing, std::move(status_request));
+        // A database that does not answer may lead unnoticed.
+        const bool is_replica = report && report->role_ == backends::listed_role::replica;
+        state.ineffective_requests_ = is_replica ? state.ineffective_requests_ + 1 : 0;
+        if (backends::is_promotion_futile(state.ineffective_requests_)) {
+            state.is_target_refused_ = true;
+            state.refused_.insert(candidate);
+            state.ineffective_requests_ = 0;
+            log_step(current, "promote", candidate + " accepted without effect");
+        }
     }
 
     /// Waits until a database is the primary, up to `promotion_effect_timeout`. Returns whether it is, and
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -356,6 +356,15 @@
     EXPECT_TRUE(backends::is_refusal_final(ms(60'000)));
 }
 
+// Guards against a service without a primary whose last one has stepped down: the platform accepts its
+// promotion and changes nothing (soak seed 529605595). One late effect is no reason to promote another.
+TEST(is_promotion_futile, HoldsAfterRepeatedRequestsWithoutEffect) {
+    EXPECT_FALSE(backends::is_promotion_futile(0));
+    EXPECT_FALSE(backends::is_promotion_futile(1));
+    EXPECT_TRUE(backends::is_promotion_futile(2));
+    EXPECT_TRUE(backends::is_promotion_futile(3));
+}
+
 // Guards against settling on a replaced primary. In a fault-injection run, the promotion of database "a" took
 // effect unnoticed, "a" became unreachable, and the previous primary, which had not heard of "a", still
 // reported its role. It was settled on at once, and its writes of the old term were acknowledged.
--- a/tests/proxy/session_fleet.cpp
+++ b/tests/proxy/session_fleet.cpp
@@ -131,6 +131,10 @@
 session_fleet::session_fleet(std::uint16_t first_port)
     : guard_{asio::make_work_guard(context_)}, first_port_{first_port} {
     const auto promote = [this](const std::string& /*service*/, const std::string& id) -> unsigned {
+        if (id == last_promoted_) {
+            return 200;
+        }
+        last_promoted_ = id;
         promotions_.push_back(id);
         ++term_;
         for (std::size_t number = 0; number < database_count; ++number) {
--- a/tests/proxy/session_fleet.hpp
+++ b/tests/proxy/session_fleet.hpp
@@ -103,6 +103,8 @@
     std::shared_ptr<stand_ins::fault_link> link_;
     std::vector<std::shared_ptr<stand_ins::line_database>> databases_;
     std::vector<std::string> promotions_;
+    /// For which the platform accepts a promotion and changes nothing.
+    std::string last_promoted_ = "i-0";
     std::vector<pid_t> daemons_;
     std::uint64_t term_ = 1;
     std::thread thread_;
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -317,6 +317,31 @@
         [](session_fleet& fixture) { EXPECT_EQ(fixture.promotions(), std::vector<std::string>{"i-2"}); });
 }
 
+// Guards against a service that never gets a primary again: its last one has stepped down, the takeover that
+// was to replace it is lost, and the platform accepts its promotion and changes nothing (soak seed
+// 529605595).
+TEST(session_daemon, PromotesAnotherDatabaseWhenPromotionsHaveNoEffect) {
+    session_fleet fleet{port_of_test(31)};
+    fleet.publish_all();
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.database(0).set_primary(false, 1);
+        fixture.database(0).set_position(7);
+        fixture.database(2).set_position(5);
+        fixture.list_database(0, false, false);
+    });
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    EXPECT_TRUE(eventually([&fleet] {
+        std::size_t requests = 0;
+        fleet.run_on_stand_in_thread(
+            [&requests](session_fleet& fixture) { requests = fixture.store().promotion_tokens().size(); });
+        return requests >= 2;
+    }));
+    EXPECT_TRUE(serves(fleet, daemon, "payouts", "STORE a 1", "COMPLETE sig.i-2"));
+    fleet.run_on_stand_in_thread(
+        [](session_fleet& fixture) { EXPECT_EQ(fixture.promotions(), std::vector<std::string>{"i-2"}); });
+}
+
 // Guards against a primary that is not replaced before its database leaves.
 TEST(session_daemon, MovesTheLeadAwayFromADrainingPrimary) {
     session_fleet fleet{port_of_test(6)};
