--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -633,15 +633,16 @@
         if (outcome != backends::promotion_outcome::accepted) {
             state.ineffective_requests_ = 0;
         } else if (!state.is_target_leading_) {
-            co_await note_ineffective_request(current, std::move(candidate), state);
+            co_await note_ineffective_request(current, state);
         }
     }
 
-    /// Gives a database up as the target if requests for its promotion are accepted without effect.
-    /// Precondition: the effect of the last request is overdue.
-    boost::asio::awaitable<void> note_ineffective_request(const takeover& current, std::string candidate,
+    /// Gives the target up if requests for its promotion are accepted without effect. Precondition: there is
+    /// a target, and the effect of the last request for it is overdue.
+    boost::asio::awaitable<void> note_ineffective_request(const takeover& current,
                                                           backends::promotion_state& state) {
-        const auto listing = control_.knowledge_.find_database(candidate);
+        const auto target = *state.target_;
+        const auto listing = control_.knowledge_.find_database(target);
         if (!listing) {
             co_return;
         }
@@ -652,9 +653,9 @@
         state.ineffective_requests_ = is_replica ? state.ineffective_requests_ + 1 : 0;
         if (backends::is_promotion_futile(state.ineffective_requests_)) {
             state.is_target_refused_ = true;
-            state.refused_.insert(candidate);
+            state.refused_.insert(target);
             state.ineffective_requests_ = 0;
-            log_step(current, "promote", candidate + " accepted without effect");
+            log_step(current, "promote", target + " accepted without effect");
         }
     }
 
