--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -356,8 +356,7 @@
     EXPECT_TRUE(backends::is_refusal_final(ms(60'000)));
 }
 
-// Guards against a service without a primary whose last one has stepped down: the platform accepts its
-// promotion and changes nothing (soak seed 529605595). One late effect is no reason to promote another.
+// Guards against promoting a second database because the first promotion takes effect late.
 TEST(is_promotion_futile, HoldsAfterRepeatedRequestsWithoutEffect) {
     EXPECT_FALSE(backends::is_promotion_futile(0));
     EXPECT_FALSE(backends::is_promotion_futile(1));
--- a/tests/proxy/test_session_daemon.cpp
+++ b/tests/proxy/test_session_daemon.cpp
@@ -317,9 +317,7 @@
         [](session_fleet& fixture) { EXPECT_EQ(fixture.promotions(), std::vector<std::string>{"i-2"}); });
 }
 
-// Guards against a service that never gets a primary again: its last one has stepped down, the takeover that
-// was to replace it is lost, and the platform accepts its promotion and changes nothing (soak seed
-// 529605595).
+// Guards against a service that stays without a primary after the last one has stepped down (seed 529605595).
 TEST(session_daemon, PromotesAnotherDatabaseWhenPromotionsHaveNoEffect) {
     session_fleet fleet{port_of_test(31)};
     fleet.publish_all();
