--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -443,6 +443,7 @@
     def __init__(self, store, name, record, sync_replicas=0):
         self.store, self.name, self.record, self.sync_replicas = store, name, record, sync_replicas
         self.databases = [Database(self, "i-%s%d" % (name, number), number == 0) for number in range(3)]
+        self.next_number = len(self.databases)
         self.addresses = {}
         self.named = self.databases[0].id
         self.promotions = []  # databases in the order in which they began to lead
@@ -502,6 +503,21 @@
         one.applied = len(one.log)
         await self.list(one)
 
+    async def replace(self, old):
+        """Ends a database that has drained. A new one with its log starts at its address, as a replica."""
+        primary = next(one for one in self.databases if one.is_primary)
+        old.crash()
+        await self.store.remove("servers/" + old.id)
+        new = Database(self, "i-%s%d" % (self.name, self.next_number), False)
+        self.next_number += 1
+        new.port, new.lag_s, new.work_s, new.term = old.port, old.lag_s, old.work_s, primary.term
+        new.log = list(primary.log)
+        new.applied = len(new.log)
+        self.databases[self.databases.index(old)] = new
+        await new.start()
+        self.addresses[new.id] = "%s:%d" % (HOST, new.port)
+        asyncio.ensure_future(self.beat(new))
+
     async def promote(self, name):
         """Makes a database lead. Returns the status to answer."""
         chosen = self.find(name)
