Proxy: Wait for the reports that a promotion needs

Cause: a takeover asked each database once and forgot those that did not answer, whatever the reason: no free connection, THROTTLED, a slow answer. `choose_promotion` then took the best of those that were left and could not tell "nobody else is there" from "nobody else was heard". Nothing read `sync-replicas`.

Change: a missing report is a state of a database, with its reason and age, and part of the decision. All databases are asked at once and repeatedly, silent ones with longer and longer timeouts (`candidate_reports`). A promotion needs reports of all but s - 1 replicas, or a candidate at the end of the log of a primary that led until it stepped down; meanwhile the old primary is kept if it is back with its log. Draining replicas report and count. Without synchronous replicas the takeover waits 600 ms for what is missing, as long as a request to a silent database took before. The end of the log belongs to one takeover, so that none uses that of an earlier one, and a draining primary that did not tell it is asked again. The wait is logged with its reasons and counted; docs/promises.md has the choice between availability and durability for each case.

Why it works: an acknowledged commit is at s replicas, so at least one of n - s + 1 reports that were requested after the stop shows it.

--- a/libraries/operators/session_routes.hpp
+++ b/libraries/operators/session_routes.hpp
@@ -45,14 +45,24 @@
 
 using session_route = base::immutable<session_route_fields>;
 
+/// What the configuration says of the databases of one service.
+struct session_service {
+    /// Maximum number of connections that one database accepts from all daemons together.
+    std::uint32_t max_connections_ = 1;
+    /// How many replicas have received a commit when it is acknowledged. With 0, replication is asynchronous.
+    std::uint32_t sync_replicas_ = 0;
+
+    friend auto operator<=>(const session_service&, const session_service&) = default;
+};
+
 /// The routes of one accepted configuration.
 struct session_routes_fields {
     /// 0 before the first configuration.
     std::uint64_t version_ = 0;
     /// Keyed by the database name that clients request.
     std::map<std::string, session_route, std::less<>> routes_;
-    /// Maximum connections to one database of a service, keyed by service.
-    std::map<std::string, std::uint32_t, std::less<>> services_;
+    /// Keyed by the name of the service.
+    std::map<std::string, session_service, std::less<>> services_;
     /// How long a transaction may be idle between two statements.
     base::clock::duration transaction_idle_{3'000};
     /// How long a client may take to send its start message, and to send the rest of a line or read a
--- a/libraries/proxy/fleet_knowledge.cpp
+++ b/libraries/proxy/fleet_knowledge.cpp
@@ -146,8 +146,8 @@
 
 fleet_view fleet_knowledge::view(const operators::session_routes& routes) const {
     fleet_view_fields fields;
-    for (const auto& [service, max_connections] : routes->services_) {
-        fields.services_.emplace(service, view_of(service, max_connections));
+    for (const auto& [service, limits] : routes->services_) {
+        fields.services_.emplace(service, view_of(service, limits.max_connections_));
     }
     return fleet_view{std::move(fields)};
 }
--- a/libraries/proxy/session_counters.hpp
+++ b/libraries/proxy/session_counters.hpp
@@ -41,6 +41,8 @@
     std::atomic<std::uint64_t> store_history_confirmed_{0};
     /// Connections that the daemon closed or refused, by reason.
     std::array<std::atomic<std::uint64_t>, callers::closing_reason_count> clients_closed_{};
+    /// Databases whose report the takeovers that this daemon leads wait for.
+    std::atomic<std::uint64_t> takeover_reports_missing_{0};
     /// Internal tasks that ended with an unexpected error.
     std::atomic<std::uint64_t> tasks_failed_{0};
 };
--- a/libraries/proxy/session_metrics.cpp
+++ b/libraries/proxy/session_metrics.cpp
@@ -122,6 +122,8 @@
     append_metric(text, "sassafrasdeal_store_returns_total", "counter", value_of(counters.store_returns_));
     append_metric(text, "sassafrasdeal_store_history_confirmed", "gauge",
                   value_of(counters.store_history_confirmed_));
+    append_metric(text, "sassafrasdeal_takeover_reports_missing", "gauge",
+                  value_of(counters.takeover_reports_missing_));
     append_client_metrics(text, shared);
     append_metric(text, "sassafrasdeal_tasks_failed_total", "counter", value_of(counters.tasks_failed_));
     // Remaining duration of the primary lease.
--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -4,6 +4,8 @@
 #include <backends/promotion_choice.hpp>
 #include <base/clock.hpp>
 #include <base/event.hpp>
+#include <base/log_position.hpp>
+#include <base/result.hpp>
 #include <base/store_revision.hpp>
 #include <daemons/fencing_token.hpp>
 #include <daemons/leadership_times.hpp>
@@ -13,6 +15,7 @@
 #include <daemons/takeover_record.hpp>
 #include <http/sleep.hpp>
 #include <platform/store_transaction.hpp>
+#include <proxy/candidate_reports.hpp>
 #include <proxy/control_context.hpp>
 #include <proxy/database_request.hpp>
 #include <proxy/fleet_keys.hpp>
@@ -22,10 +25,12 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <exception>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -98,6 +103,10 @@
         /// Latest time at which this daemon or the previous leader may have sent the promotion request for
         /// the current target.
         std::optional<base::clock::time_point> promotion_requested_at_;
+        /// Last log position of the replaced primary, if it reported one.
+        std::optional<base::log_position> final_position_;
+        /// Whether it led until then, see `promotion_state::is_final_position_complete_`.
+        bool is_final_position_complete_ = false;
     };
 
     [[nodiscard]] bool is_leader(base::clock::time_point now) const {
@@ -265,6 +274,7 @@
             failure = std::current_exception();
         }
         control_.active_takeovers_.erase(service);
+        note_missing_reports(service, {});
         if (failure) {
             std::rethrow_exception(failure);
         }
@@ -414,7 +424,7 @@
     /// primary leases of the silent daemons have expired. That the primary has stepped down is not enough: it
     /// refuses writes then, but still answers the reads of a daemon that has not heard of the takeover.
     /// Returns whether the takeover may continue.
-    boost::asio::awaitable<bool> stop_using_primary(const takeover& current) {
+    boost::asio::awaitable<bool> stop_using_primary(takeover& current) {
         const auto grace = current.reason_ == takeover_reason::planned ? planned_grace : failed_grace;
         boost::asio::co_spawn(control_.context_,
                               control_.drain_database(current.service_, current.replaced_, grace),
@@ -479,7 +489,7 @@
     }
 
     /// Requests that the replaced primary becomes a replica. Returns whether it confirmed the role.
-    boost::asio::awaitable<bool> step_down(const takeover& current) {
+    boost::asio::awaitable<bool> step_down(takeover& current) {
         const auto listing = control_.knowledge_.find_database(current.replaced_);
         if (!listing) {
             co_return false;
@@ -489,62 +499,141 @@
         if (!report) {
             co_return false;
         }
+        const bool has_led =
+            report->role_ == backends::listed_role::primary &&
+            (current.primary_term_ == daemons::unknown_term || report->term_ >= current.primary_term_);
         if (report->role_ == backends::listed_role::primary) {
             auto step_down_request = protocol::step_down(report->term_ + 1);
             report = co_await send_request(*listing, std::move(step_down_request));
         }
         const bool is_replica = report && report->role_ == backends::listed_role::replica;
         if (report) {
-            final_positions_[current.service_] = report->received_;
+            current.final_position_ = report->received_;
+            // A database that was a replica before may have started again without its log.
+            current.is_final_position_complete_ = has_led || current.is_final_position_complete_;
         }
         log_step(current, "step down", is_replica ? "done" : "not confirmed");
         co_return is_replica;
     }
 
     /// Sends one request to a database, see `ask_database`.
-    boost::asio::awaitable<std::optional<backends::database_report>>
+    boost::asio::awaitable<base::result<backends::database_report>>
     send_request(backends::database_listing database, std::string message) {
         co_return co_await ask_database<protocol>(control_.context_, std::move(database), std::move(message));
     }
 
-    /// Requests the status of every database of a service that may become its primary.
-    boost::asio::awaitable<std::vector<backends::promotion_candidate>>
-    find_candidates(const takeover& current) {
-        std::vector<backends::promotion_candidate> found;
-        for (const auto& listing : control_.knowledge_.databases_of(current.service_)) {
-            const bool is_eligible =
-                listing->id_ != current.replaced_ && listing->state_ == backends::listed_state::ready;
-            if (!is_eligible) {
-                continue;
-            }
-            auto status_request = protocol::status();
-            const auto report = co_await send_request(listing, std::move(status_request));
-            if (report) {
-                found.push_back({listing->id_, *report});
+    /// Requests the status of every database of a service and waits until one of them answers. Stores what
+    /// all of them have reported since the primary was stopped.
+    boost::asio::awaitable<void> collect_reports(const takeover& current,
+                                                 candidate_reports<protocol>& reports,
+                                                 backends::promotion_state& state) {
+        const auto databases = control_.knowledge_.databases_of(current.service_);
+        reports.ask(databases, base::clock::now());
+        co_await reports.wait_for_change(promotion_poll_interval);
+        const auto now = base::clock::now();
+        const auto is_replaced = [&current](const auto& one) {
+            return one.id_ == current.replaced_;
+        };
+        state.candidates_ = reports.reported(now);
+        state.missing_ = reports.missing(now);
+        state.returned_primary_.reset();
+        const auto replaced = std::find_if(state.candidates_.begin(), state.candidates_.end(), is_replaced);
+        const bool is_unchanged = current.record_->phase_ == daemons::takeover_phase::open;
+        if (replaced != state.candidates_.end() && is_unchanged &&
+            replaced->report_.role_ == backends::listed_role::primary) {
+            state.returned_primary_ = *replaced;
+        }
+        std::erase_if(state.candidates_, is_replaced);
+        std::erase_if(state.missing_, is_replaced);
+        state.sync_replicas_ = sync_replicas_of(current.service_);
+        state.final_position_ = current.final_position_;
+        state.is_final_position_complete_ = current.is_final_position_complete_;
+        state.is_final_position_missing_ =
+            current.reason_ == takeover_reason::planned && !current.final_position_;
+    }
+
+    /// Returns how many replicas have received a commit of a service when it is acknowledged, by the
+    /// configuration in force.
+    [[nodiscard]] std::uint32_t sync_replicas_of(const std::string& service) const {
+        return control_.shared_.routes_.read([&service](const auto& routes) {
+            const auto found = routes->services_.find(service);
+            return found == routes->services_.end() ? 0U : found->second.sync_replicas_;
+        });
+    }
+
+    /// Logs which databases a takeover waits for, and why, whenever that changes. Counts them.
+    void log_missing_reports(const takeover& current, const backends::promotion_state& state,
+                             std::string& last_logged) {
+        std::string missing;
+        for (const auto& one : state.missing_) {
+            if (!one.reason_.empty()) {
+                missing.append(missing.empty() ? "" : ", ").append(one.id_ + " (" + one.reason_ + ")");
             }
         }
-        co_return found;
+        note_missing_reports(current.service_, state.missing_);
+        if (!missing.empty() && missing != last_logged) {
+            log_step(current, "reports",
+                     "waiting for " + missing +
+                         ", synchronous replicas: " + std::to_string(state.sync_replicas_));
+            last_logged = std::move(missing);
+        }
+    }
+
+    /// Logs the reports on which the choice of a database rests.
+    void log_choice(const takeover& current, const backends::promotion_state& state) {
+        std::string reports;
+        for (const auto& one : state.candidates_) {
+            const auto& received = one.report_.received_;
+            reports.append(one.id_)
+                .append(one.is_draining_ ? "(draining) " : " ")
+                .append(std::to_string(received.term()) + "." + std::to_string(received.index()))
+                .append(", ");
+        }
+        log_step(current, "reports", reports + std::to_string(state.missing_.size()) + " missing");
+    }
+
+    void note_missing_reports(const std::string& service,
+                              const std::vector<backends::missing_report>& missing) {
+        if (missing.empty()) {
+            missing_reports_.erase(service);
+        } else {
+            missing_reports_[service] = missing.size();
+        }
+        std::uint64_t total = 0;
+        for (const auto& [name, count] : missing_reports_) {
+            total += count;
+        }
+        control_.shared_.counters_.takeover_reports_missing_.store(total, std::memory_order_relaxed);
     }
 
     /// Promotes a database and settles the record. Retries until the takeover is superseded or this daemon is
     /// no longer the leader.
     boost::asio::awaitable<void> promote_until_settled(takeover& current) {
-        const auto catch_up_deadline = base::clock::now() + catch_up_timeout;
+        const auto started_at = base::clock::now();
+        // The reports from before a promotion request are out of date when that has failed.
+        auto collecting_since = started_at;
+        const auto reports = std::make_shared<candidate_reports<protocol>>(
+            control_.context_, control_.log_failures("status request"));
+        std::string last_logged;
         backends::promotion_state state;
         state.primary_term_ = current.primary_term_;
         if (current.record_->phase_ == daemons::takeover_phase::promoting) {
             state.target_ = current.record_->chosen_;
             current.promotion_requested_at_ = base::clock::now();
         }
-        if (const auto found = final_positions_.find(current.service_); found != final_positions_.end()) {
-            state.final_position_ = found->second;
-        }
         while (may_promote(current)) {
-            state.may_wait_ = base::clock::now() < catch_up_deadline;
-            if (!state.target_ || state.is_target_refused_) {
-                state.candidates_ = co_await find_candidates(current);
+            const auto now = base::clock::now();
+            state.may_wait_ = now - started_at < catch_up_timeout;
+            state.may_wait_for_reports_ = now - collecting_since < missing_reports_timeout;
+            const bool is_choosing = !state.target_ || state.is_target_refused_;
+            if (is_choosing) {
+                co_await collect_reports(current, *reports, state);
             }
             const auto choice = backends::choose_promotion(state);
+            if (is_choosing && choice.step_ == backends::promotion_step::request) {
+                log_choice(current, state);
+                note_missing_reports(current.service_, {});
+            }
             if (choice.step_ == backends::promotion_step::complete) {
                 const bool is_settled = co_await complete(current, choice.database_);
                 if (is_settled) {
@@ -552,10 +641,19 @@
                 }
             } else if (choice.step_ == backends::promotion_step::request) {
                 co_await promote(current, choice.database_, state);
+                collecting_since = base::clock::now();
                 continue;
             } else {
-                state.refused_.clear();
+                if (!state.may_wait_for_reports_) {
+                    state.refused_.clear();
+                    state.futile_.clear();
+                }
+                log_missing_reports(current, state, last_logged);
                 co_await demote_replaced_primaries(current, state);
+                if (state.is_final_position_missing_ && state.may_wait_for_reports_) {
+                    co_await step_down(current);
+                }
+                continue;
             }
             co_await http::sleep_for(promotion_poll_interval);
         }
@@ -653,7 +751,7 @@
         state.ineffective_requests_ = is_replica ? state.ineffective_requests_ + 1 : 0;
         if (backends::is_promotion_futile(state.ineffective_requests_)) {
             state.is_target_refused_ = true;
-            state.refused_.insert(target);
+            state.futile_.insert(target);
             state.ineffective_requests_ = 0;
             log_step(current, "promote", target + " accepted without effect");
         }
@@ -695,7 +793,6 @@
         if (!is_written) {
             co_return false;
         }
-        final_positions_.erase(current.service_);
         demoted_at_.erase(current.service_);
         peers_.announce_record(current.record_);
         base::log_event(events::takeover_settled,
@@ -768,6 +865,9 @@
     // Covers timers that fire late.
     static constexpr base::clock::duration lease_expiry_margin{300};
     static constexpr base::clock::duration catch_up_timeout{1'500};
+    // For services without synchronous replicas, whose operator accepts the loss of the newest commits: as
+    // long as one request to a database that does not answer.
+    static constexpr base::clock::duration missing_reports_timeout{600};
     static constexpr base::clock::duration promotion_poll_interval{60};
     static constexpr base::clock::duration promotion_effect_timeout{3'000};
     // Several consecutive requests without a response.
@@ -782,8 +882,8 @@
     std::map<std::string, draining_primary> draining_;
     /// Since when the primary of a service has been unknown.
     std::map<std::string, base::clock::time_point> unknown_since_;
-    /// Last log position of each replaced primary that reported one, by service.
-    std::map<std::string, base::log_position> final_positions_;
+    /// How many databases the takeover of a service waits for.
+    std::map<std::string, std::size_t> missing_reports_;
     /// When a marked registration was first seen, by its revision.
     std::map<std::pair<base::store_era, std::uint64_t>, base::clock::time_point> marked_at_;
     base::clock::time_point next_removal_{};
--- a/stand_ins/session_platform/line_database.cpp
+++ b/stand_ins/session_platform/line_database.cpp
@@ -144,6 +144,9 @@
     const auto service = take_word(fields);
     current.tenant_ = take_word(fields);
     started_.push_back(current.tenant_);
+    if (!start_error_.empty()) {
+        return start_error_ + "\r\n";
+    }
     const bool is_wrong = service != service_ || (!fields.empty() && fields != id_);
     return is_wrong ? "ERROR WRONGNODE " + id_ + "\r\n" : ready(current);
 }
@@ -165,6 +168,9 @@
     if (verb == "SET" || verb == "PREPARE" || verb == "DEALLOC" || text == "RESET") {
         return change_session(current, id, text);
     }
+    if (text == "STATUS" && !status_error_.empty()) {
+        return status_error_ + "\r\n" + ready(current);
+    }
     if (text == "STATUS" || verb == "STEPDOWN") {
         is_primary_ = is_primary_ && verb == "STATUS";
         return std::string{"ROW "} + (is_primary_ ? "primary " : "replica ") + std::to_string(term_) + " " +
--- a/stand_ins/session_platform/line_database.hpp
+++ b/stand_ins/session_platform/line_database.hpp
@@ -79,6 +79,10 @@
     void set_answer_delay(base::clock::duration delay) { answer_delay_ = delay; }
     /// Answers each `BEGIN` with this error line from now on, without running it; empty to run them again.
     void set_begin_error(std::string error) { begin_error_ = std::move(error); }
+    /// Refuses each new connection with this error line from now on; empty to accept them again.
+    void set_start_error(std::string error) { start_error_ = std::move(error); }
+    /// Answers each `STATUS` with this error line from now on; empty to report again.
+    void set_status_error(std::string error) { status_error_ = std::move(error); }
     /// Forgets a connection's prepared statements from now on whenever one is to be executed.
     void set_forgetting_prepared(bool is_forgetting) { is_forgetting_prepared_ = is_forgetting; }
     [[nodiscard]] const std::vector<seen_statement>& seen() const noexcept { return seen_; }
@@ -137,6 +141,8 @@
     bool is_primary_ = false;
     bool is_losing_ = false;
     std::string begin_error_;
+    std::string start_error_;
+    std::string status_error_;
     bool is_forgetting_prepared_ = false;
     base::clock::duration answer_delay_{0};
     std::uint64_t term_ = 1;
--- a/tests/adapter/test_store_messages.cpp
+++ b/tests/adapter/test_store_messages.cpp
@@ -205,7 +205,7 @@
     const auto routes = adapter::fleet_entries::read_configuration(configuration);
     ASSERT_TRUE(routes);
     EXPECT_EQ((*routes)->version_, 7U);
-    EXPECT_EQ((*routes)->services_.at("huvo11a"), 16U);
+    EXPECT_EQ((*routes)->services_.at("huvo11a").max_connections_, 16U);
     EXPECT_EQ((*routes)->transaction_idle_, base::clock::duration{2'500});
     const auto& route = (*routes)->routes_.at("lepu270");
     EXPECT_EQ(route->consistency_, operators::consistency::read_your_writes);
@@ -247,7 +247,7 @@
     EXPECT_EQ(route->timeout_, day);
     EXPECT_EQ(route->objective_, day);
     EXPECT_EQ(route->priority_, 1'000U);
-    EXPECT_EQ((*routes)->services_.at("huvo11a"), 1'000'000U);
+    EXPECT_EQ((*routes)->services_.at("huvo11a").max_connections_, 1'000'000U);
     EXPECT_EQ((*routes)->transaction_idle_, day);
 }
 
--- a/tests/adapter/test_tenant_entries.cpp
+++ b/tests/adapter/test_tenant_entries.cpp
@@ -70,7 +70,7 @@
     EXPECT_EQ(route->objective_, base::clock::duration{200});
     EXPECT_EQ(route->priority_, 1U);
     EXPECT_EQ(route->staleness_, base::clock::duration{1'500});
-    EXPECT_EQ(routes->services_.at("huvo11a"), 72U);
+    EXPECT_EQ(routes->services_.at("huvo11a").max_connections_, 72U);
     EXPECT_EQ(routes->transaction_idle_, base::clock::duration{700});
     // A version is no amount.
     EXPECT_FALSE(read(R"({"version":7.5,"routes":[],"services":[]})"));
--- a/tests/proxy/session_fleet.cpp
+++ b/tests/proxy/session_fleet.cpp
@@ -175,8 +175,8 @@
     thread_.join();
 }
 
-void session_fleet::publish_all() {
-    run_on_stand_in_thread([](session_fleet& fleet) {
+void session_fleet::publish_all(std::uint32_t sync_replicas) {
+    run_on_stand_in_thread([sync_replicas](session_fleet& fleet) {
         for (std::size_t number = 0; number < database_count; ++number) {
             fleet.list_database(number, number == 0, false);
         }
@@ -185,7 +185,8 @@
             R"({"version":3,"routes":[)"
             R"({"name":"p","database-name":"payouts","type":"primary","timeout-ms":3000,"target-latency-ms":1000,"priority":0,"service":"svc","max-attempts":2},)"
             R"({"name":"b","database-name":"batches","type":"read_your_writes","timeout-ms":3000,"target-latency-ms":1000,"priority":1,"service":"svc","max-attempts":2,"max-staleness-ms":2500}],)"
-            R"("services":[{"name":"svc","max-connections":16,"sync-replicas":0}],"limits":{"tx-idle-ms":600}})");
+            R"("services":[{"name":"svc","max-connections":16,"sync-replicas":)" +
+                std::to_string(sync_replicas) + R"(}],"limits":{"tx-idle-ms":600}})");
     });
 }
 
@@ -204,6 +205,11 @@
     run_on_stand_in_thread([&text](session_fleet& fleet) { fleet.store().put("op/config", text); });
 }
 
+void session_fleet::restart_database(std::size_t number) {
+    const auto port = static_cast<std::uint16_t>(first_port_ + database_offset + number);
+    EXPECT_TRUE(databases_.at(number)->listen({"127.0.0.1", port}));
+}
+
 void session_fleet::list_database(std::size_t number, bool is_primary, bool is_draining) {
     const auto port = static_cast<std::uint16_t>(first_port_ + database_offset + number);
     store_->put(
--- a/tests/proxy/session_fleet.hpp
+++ b/tests/proxy/session_fleet.hpp
@@ -61,7 +61,7 @@
     session_fleet& operator=(session_fleet&&) = delete;
 
     /// Writes the configuration and the server list to the store.
-    void publish_all();
+    void publish_all(std::uint32_t sync_replicas = 0);
     /// Writes a configuration with these tenants, a JSON array, to the store. Its routes are those of
     /// `publish_all` and the public route `notices`; statements may wait longer and transactions be idle for
     /// half a minute.
@@ -88,6 +88,8 @@
     [[nodiscard]] stand_ins::store_server& store() noexcept { return *store_; }
     [[nodiscard]] stand_ins::fault_link& link() noexcept { return *link_; }
     [[nodiscard]] stand_ins::line_database& database(std::size_t number) { return *databases_.at(number); }
+    /// Makes a database that has crashed listen again, with its log.
+    void restart_database(std::size_t number);
     /// Writes the server list entry of a database.
     void list_database(std::size_t number, bool is_primary, bool is_draining);
     /// Returns whether a statement with this text has reached any database.
