Backends: Date the position in a response by its request

Cause: `statement_runner::begin_with_statement` took the time for `note_response` after the response of a BEGIN that did not succeed. Whatever delayed the reading of that response, such as a suspension or a link that was held up, made its position look newer, and replicas at that position fresh. The other three callers took the time before they sent.

Change: the connection notes when it sends a request and puts that time into the response. `note_response` takes no time any more, and `position_history` takes positions only together with their time (`reported_position`), so a position cannot be dated by its reader.

Why it works: every commit acknowledged before a request was sent is at or below the position in its response, however late that is read. The load and the estimate of the wait, which took a failed BEGIN for an instant response, now see its duration, too.

--- a/libraries/backends/position_history.cpp
+++ b/libraries/backends/position_history.cpp
@@ -14,7 +14,8 @@
 
 } // namespace
 
-void position_history::note(base::log_position position, base::clock::time_point requested_at) {
+void position_history::note(const reported_position& reported) {
+    const auto& [position, requested_at] = reported;
     if (!samples_.empty()) {
         const auto& newest = samples_.back();
         if (position.term() > newest.position_.term()) {
@@ -24,7 +25,7 @@
             return;
         }
     }
-    samples_.push_back({requested_at, position});
+    samples_.push_back(reported);
     while (samples_.size() > 1 && samples_.front().requested_at_ + max_staleness < requested_at) {
         samples_.pop_front();
     }
@@ -33,8 +34,9 @@
 std::optional<base::log_position> position_history::oldest_within(base::clock::duration staleness,
                                                                   base::clock::time_point now) const {
     const auto oldest = now - std::min(staleness, max_staleness);
-    const auto found = std::find_if(samples_.begin(), samples_.end(),
-                                    [oldest](const sample& one) { return one.requested_at_ >= oldest; });
+    const auto found = std::find_if(samples_.begin(), samples_.end(), [oldest](const reported_position& one) {
+        return one.requested_at_ >= oldest;
+    });
     return found == samples_.end() ? std::nullopt : std::optional{found->position_};
 }
 
--- a/libraries/backends/position_history.hpp
+++ b/libraries/backends/position_history.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <backends/reported_position.hpp>
 #include <base/clock.hpp>
 #include <base/log_position.hpp>
 
@@ -17,10 +18,9 @@
 /// back.
 class position_history {
 public:
-    /// Records the position that the primary reported in response to a request sent at `requested_at`. A
-    /// position of a later term removes those of earlier terms, which a takeover may have rolled back in
-    /// part.
-    void note(base::log_position position, base::clock::time_point requested_at);
+    /// Records a position that the primary reported. A position of a later term removes those of earlier
+    /// terms, which a takeover may have rolled back in part.
+    void note(const reported_position& reported);
 
     /// Returns the oldest position recorded within `staleness` before `now`; empty when there is none.
     [[nodiscard]] std::optional<base::log_position> oldest_within(base::clock::duration staleness,
@@ -37,13 +37,8 @@
     void clear() noexcept { samples_.clear(); }
 
 private:
-    struct sample {
-        base::clock::time_point requested_at_;
-        base::log_position position_;
-    };
-
     /// Ordered by `requested_at_`, at least `sample_interval` apart.
-    std::deque<sample> samples_;
+    std::deque<reported_position> samples_;
 };
 
 } // namespace backends
--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -159,10 +159,10 @@
 
     /// Records the response to a statement on a granted connection. Must be called before the connection is
     /// used again or released.
-    void note_response(const grant& granted, const statement_response& response,
-                       base::clock::time_point sent_at) {
+    void note_response(const grant& granted, const statement_response& response) {
         const auto now = base::clock::now();
-        note_load(granted, response, now - sent_at, now);
+        const auto elapsed = now - response.requested_at_;
+        note_load(granted, response, elapsed, now);
         if (response.status_ == statement_status::unknown) {
             probe_after_loss(granted, now);
             return;
@@ -176,15 +176,15 @@
             granted.member_->note_caught_up();
         }
         if (response.status_ == statement_status::done && response.detail_.size() > 1) {
-            wait_estimate_.note(now - sent_at);
-            granted.member_->note_duration(now - sent_at, granted.priority_, now);
+            wait_estimate_.note(elapsed);
+            granted.member_->note_duration(elapsed, granted.priority_, now);
         }
         if (!granted.is_primary_ && response.position_) {
             granted.member_->note_position(*response.position_);
         }
-        if (granted.is_primary_ && response.position_ &&
-            is_usable_primary(granted.member_->listing()->id_, now)) {
-            positions_.note(*response.position_, sent_at);
+        const auto position = response.dated_position();
+        if (granted.is_primary_ && position && is_usable_primary(granted.member_->listing()->id_, now)) {
+            positions_.note(*position);
         }
     }
 
@@ -612,7 +612,6 @@
     static boost::asio::awaitable<void> open_connection(std::shared_ptr<service_group> self,
                                                         member_pointer one, std::string tenant) {
         open_failure failure;
-        const auto requested_at = base::clock::now();
         const connection_timeouts timeouts;
         auto listing = one->listing();
         auto opened = co_await statement_connection<Protocol>::open(self->executor_, std::move(listing),
@@ -624,7 +623,7 @@
         if (opened) {
             const auto& position = opened->first_position();
             if (position && self->is_usable_primary(one->listing()->id_, now)) {
-                self->positions_.note(*position, requested_at);
+                self->positions_.note(*position);
             }
             if (one->is_failing()) {
                 self->log_condition(*one, "answers", {});
--- a/libraries/backends/statement_connection.hpp
+++ b/libraries/backends/statement_connection.hpp
@@ -59,6 +59,7 @@
             failure = {statement_status::unknown, "no connection to " + database->address_.to_string()};
             co_return nullptr;
         }
+        const auto requested_at = base::clock::now();
         auto line = Protocol::start_connection(database->service_, created->tenant_, database->id_);
         socket.expires_after(timeouts.open_timeout_);
         statement_response response;
@@ -71,7 +72,8 @@
             socket.close();
             co_return nullptr;
         }
-        created->position_ = response.position_;
+        response.requested_at_ = requested_at;
+        created->first_position_ = response.dated_position();
         co_return created;
     }
 
@@ -82,32 +84,15 @@
     /// closed, returns `overloaded` and sends nothing. Precondition: no other statement is in flight.
     [[nodiscard]] boost::asio::awaitable<statement_response> run(std::string messages, std::size_t count,
                                                                  base::clock::time_point deadline) {
-        if (!socket_.is_open()) {
-            co_return make_response(statement_status::overloaded, "the connection was closed",
-                                    transaction_state::none);
-        }
-        socket_.expires_at(deadline);
+        const auto requested_at = base::clock::now();
         statement_response response;
-        if (co_await socket_.write(std::move(messages))) {
-            for (std::size_t received = 0; received < count; ++received) {
-                response = co_await read_response();
-                const bool is_last = received + 1 == count;
-                if (!is_last && response.status_ != statement_status::done) {
-                    socket_.close();
-                    break;
-                }
-                if (!socket_.is_open()) {
-                    break;
-                }
-            }
+        if (socket_.is_open()) {
+            response = co_await exchange(std::move(messages), count, deadline);
         } else {
-            socket_.close();
-        }
-        if (response.status_ == statement_status::unknown_prepared) {
-            socket_.close();
+            response = make_response(statement_status::overloaded, "the connection was closed",
+                                     transaction_state::none);
         }
-        socket_.expires_never();
-        has_timed_out_ = socket_.has_expired();
+        response.requested_at_ = requested_at;
         co_return response;
     }
 
@@ -122,9 +107,9 @@
     [[nodiscard]] const std::string& tenant() const noexcept { return tenant_; }
     /// Returns a number that identifies the connection in the log of this process.
     [[nodiscard]] std::uint64_t number() const noexcept { return number_; }
-    /// Returns the log position of the database at the time the connection was opened.
-    [[nodiscard]] const std::optional<base::log_position>& first_position() const noexcept {
-        return position_;
+    /// Returns the log position of the database when the connection was opened.
+    [[nodiscard]] const std::optional<reported_position>& first_position() const noexcept {
+        return first_position_;
     }
 
     [[nodiscard]] connection_content& content() noexcept { return content_; }
@@ -152,6 +137,34 @@
         response.hold_->resize(bytes);
     }
 
+    /// Sends messages and reads their responses, see `run`.
+    [[nodiscard]] boost::asio::awaitable<statement_response> exchange(std::string messages, std::size_t count,
+                                                                      base::clock::time_point deadline) {
+        socket_.expires_at(deadline);
+        statement_response response;
+        if (co_await socket_.write(std::move(messages))) {
+            for (std::size_t received = 0; received < count; ++received) {
+                response = co_await read_response();
+                const bool is_last = received + 1 == count;
+                if (!is_last && response.status_ != statement_status::done) {
+                    socket_.close();
+                    break;
+                }
+                if (!socket_.is_open()) {
+                    break;
+                }
+            }
+        } else {
+            socket_.close();
+        }
+        if (response.status_ == statement_status::unknown_prepared) {
+            socket_.close();
+        }
+        socket_.expires_never();
+        has_timed_out_ = socket_.has_expired();
+        co_return response;
+    }
+
     /// Reads the lines of one response. Closes the connection if the response is incomplete.
     [[nodiscard]] boost::asio::awaitable<statement_response> read_response() {
         statement_response response;
@@ -201,7 +214,7 @@
     base::memory_budget* budget_;
     std::uint64_t number_ = next_connection_number();
     connection_content content_;
-    std::optional<base::log_position> position_;
+    std::optional<reported_position> first_position_;
     base::clock::time_point idle_since_{};
     bool has_timed_out_ = false;
 };
--- a/libraries/backends/statement_response.hpp
+++ b/libraries/backends/statement_response.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <backends/reported_position.hpp>
 #include <base/clock.hpp>
 #include <base/log_position.hpp>
 #include <base/memory_budget.hpp>
@@ -97,6 +98,13 @@
     statement_trace trace_;
     /// Counts the rows against the memory of the process; null if they are few.
     std::shared_ptr<base::memory_hold> hold_;
+    /// When the request was sent; set by the connection that received the response.
+    base::clock::time_point requested_at_{};
+
+    /// Returns the log position of the database with the time that dates it, if the response has one.
+    [[nodiscard]] std::optional<reported_position> dated_position() const {
+        return position_ ? std::optional{reported_position{*position_, requested_at_}} : std::nullopt;
+    }
 
     friend auto operator<=>(const statement_response&, const statement_response&) = default;
 };
--- a/libraries/backends/statement_runner.hpp
+++ b/libraries/backends/statement_runner.hpp
@@ -139,8 +139,7 @@
                 response.trace_ = trace;
                 co_return response;
             }
-            const auto sent_at = base::clock::now();
-            group->note_response(granted, begin_response, sent_at);
+            group->note_response(granted, begin_response);
             group->end_statement(granted);
             if (begin_response.status_ == statement_status::done ||
                 begin_response.state_ != transaction_state::none) {
@@ -185,10 +184,9 @@
             co_return traced(statement_status::aborted, "the transaction's connection was closed",
                              pinned_trace(connection));
         }
-        const auto sent_at = base::clock::now();
         auto line = Protocol::statement(statement.id_, statement.text_, std::nullopt);
         auto response = co_await connection.run(std::move(line), 1, deadline);
-        group.note_response(current.grant_, response, sent_at);
+        group.note_response(current.grant_, response);
         const bool may_acknowledge = !current.has_written_ || group.may_acknowledge(current.grant_);
         if (response.state_ != transaction_state::none) {
             connection.close();
@@ -373,13 +371,12 @@
         if (failure) {
             co_return std::move(*failure);
         }
-        const auto sent_at = base::clock::now();
         const auto required_position =
             statement.effect_ == statement_effect::reads ? granted.required_position_ : std::nullopt;
         note_sent(trace, connection, statement);
         auto line = encode_statement(connection, statement, required_position);
         auto response = co_await connection.run(std::move(line), 1, deadline);
-        group.note_response(granted, response, sent_at);
+        group.note_response(granted, response);
         co_return response;
     }
 
@@ -431,11 +428,10 @@
         if (failure) {
             response = std::move(*failure);
         } else {
-            const auto sent_at = base::clock::now();
             note_sent(trace, connection, statement);
             auto line = encode_statement(connection, statement, std::nullopt);
             response = co_await connection.run(std::move(line), 1, deadline);
-            group.note_response(granted, response, sent_at);
+            group.note_response(granted, response);
         }
         group.end_statement(granted);
         response.trace_ = std::move(trace);
--- a/stand_ins/session_platform/line_database.cpp
+++ b/stand_ins/session_platform/line_database.cpp
@@ -106,6 +106,7 @@
             co_return;
         }
         const auto word = take_word(*line);
+        const auto failed_begins = self->failed_begins_;
         std::string reply;
         if (word == "START") {
             reply = self->start(current, std::move(*line));
@@ -118,7 +119,9 @@
             co_return;
         }
         const auto received_at = base::clock::now();
-        while (base::clock::now() < received_at + self->answer_delay_) {
+        const auto more_delay =
+            self->failed_begins_ > failed_begins ? self->begin_error_delay_ : base::clock::duration{0};
+        while (base::clock::now() < received_at + self->answer_delay_ + more_delay) {
             co_await http::sleep_for(delay_check_interval);
         }
         const bool is_sent = co_await socket->write(std::move(reply));
@@ -217,6 +220,7 @@
     const auto verb = take_word(rest);
     std::string prepared;
     if (verb == "BEGIN" && !begin_error_.empty()) {
+        ++failed_begins_;
         return begin_error_ + "\r\n" + ready(current);
     }
     if (verb == "EXECUTE") {
--- a/stand_ins/session_platform/line_database.hpp
+++ b/stand_ins/session_platform/line_database.hpp
@@ -78,7 +78,13 @@
     /// Answers each message this much later from now on, also those that already wait for their answer.
     void set_answer_delay(base::clock::duration delay) { answer_delay_ = delay; }
     /// Answers each `BEGIN` with this error line from now on, without running it; empty to run them again.
-    void set_begin_error(std::string error) { begin_error_ = std::move(error); }
+    /// The answer has the position of the request and comes this much later.
+    void set_begin_error(std::string error, base::clock::duration delay = {}) {
+        begin_error_ = std::move(error);
+        begin_error_delay_ = delay;
+    }
+    /// Returns how many `BEGIN` were answered with that error line.
+    [[nodiscard]] std::uint64_t failed_begins() const noexcept { return failed_begins_; }
     /// Refuses each new connection with this error line from now on; empty to accept them again.
     void set_start_error(std::string error) { start_error_ = std::move(error); }
     /// Answers each `STATUS` with this error line from now on; empty to report again.
@@ -141,6 +147,8 @@
     bool is_primary_ = false;
     bool is_losing_ = false;
     std::string begin_error_;
+    base::clock::duration begin_error_delay_{0};
+    std::uint64_t failed_begins_ = 0;
     std::string start_error_;
     std::string status_error_;
     bool is_forgetting_prepared_ = false;
--- a/tests/backends/test_session_decisions.cpp
+++ b/tests/backends/test_session_decisions.cpp
@@ -36,8 +36,8 @@
 // one.
 TEST(position_history, ReturnsNoPositionOlderThanTheStaleness) {
     position_history history;
-    history.note(log_position{3, 10}, at(1'000));
-    history.note(log_position{3, 20}, at(2'000));
+    history.note({log_position{3, 10}, at(1'000)});
+    history.note({log_position{3, 20}, at(2'000)});
     EXPECT_EQ(history.oldest_within(ms(1'500), at(2'100)), (log_position{3, 10}));
     EXPECT_EQ(history.oldest_within(ms(1'500), at(2'600)), (log_position{3, 20}));
     EXPECT_EQ(history.oldest_within(ms(1'500), at(3'600)), std::nullopt);
@@ -46,17 +46,17 @@
 // Guards against requiring a position that was rolled back by a takeover.
 TEST(position_history, DropsPositionsOfEarlierTerms) {
     position_history history;
-    history.note(log_position{3, 90}, at(1'000));
-    history.note(log_position{4, 80}, at(1'100));
+    history.note({log_position{3, 90}, at(1'000)});
+    history.note({log_position{4, 80}, at(1'100)});
     EXPECT_EQ(history.oldest_within(ms(5'000), at(1'200)), (log_position{4, 80}));
-    history.note(log_position{3, 95}, at(1'200));
+    history.note({log_position{3, 95}, at(1'200)});
     EXPECT_EQ(history.oldest_within(ms(5'000), at(1'300)), (log_position{4, 80}));
 }
 
 // Guards against a session that does not see its own commit, within a term and across a takeover.
 TEST(position_history, RequiresTheSessionsOwnCommit) {
     position_history history;
-    history.note(log_position{3, 10}, at(1'000));
+    history.note({log_position{3, 10}, at(1'000)});
     EXPECT_EQ(history.required_position(ms(1'500), log_position{3, 15}, at(1'100)), (log_position{3, 15}));
     EXPECT_EQ(history.required_position(ms(1'500), log_position{3, 5}, at(1'100)), (log_position{3, 10}));
     EXPECT_EQ(history.required_position(ms(1'500), log_position{2, 99}, at(1'100)), (log_position{3, 10}));
@@ -73,7 +73,7 @@
     std::uint64_t index = 0;
     for (const auto step : steps) {
         now += step;
-        history.note(log_position{1, ++index}, at(now));
+        history.note({log_position{1, ++index}, at(now)});
         noted[index] = now;
     }
     const auto response = history.oldest_within(ms(staleness), at(now));
