Backends: Date the first position of a connection only at a known primary

Commits acknowledged before the request can be missing from it. The database now has to be the usable primary when the connection is requested, and when it is open.

--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -612,6 +612,8 @@
     static boost::asio::awaitable<void> open_connection(std::shared_ptr<service_group> self,
                                                         member_pointer one, std::string tenant) {
         open_failure failure;
+        // A database that becomes the primary meanwhile reports a position from before.
+        const bool was_primary = self->is_usable_primary(one->listing()->id_, base::clock::now());
         const connection_timeouts timeouts;
         auto listing = one->listing();
         auto opened = co_await statement_connection<Protocol>::open(self->executor_, std::move(listing),
@@ -622,7 +624,7 @@
         }
         if (opened) {
             const auto& position = opened->first_position();
-            if (position && self->is_usable_primary(one->listing()->id_, now)) {
+            if (position && was_primary && self->is_usable_primary(one->listing()->id_, now)) {
                 self->positions_.note(*position);
             }
             if (one->is_failing()) {
