Backends, Proxy: Publish the primary lease together with the primaries that it covers

What callers saw: a read of a `primary` route, sent after a commit was acknowledged, ran at the old primary, which had stepped down, and lacked that commit.

Cause: the expiry of the lease reached the request threads at once, through an atomic. The view that says which primaries it vouches for was posted to the queue of the thread, behind the maintenance timer and the reads that had waited at the sockets. In between, a thread used the old primary under a lease that had been renewed for the new one.

Change: the expiry and the usable primary of each service are one immutable value, published by read-copy-update. A primary is used only if the view of the thread and that value both name it. A takeover record that is adopted counts at once for all threads, too.

Why it works: the lease is proof that no takeover unknown to this daemon has replaced the primaries that it knew when the lease was renewed; a thread can no longer see one without the other.

--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -308,7 +308,7 @@
 
     [[nodiscard]] bool is_usable_primary(const std::string& id, base::clock::time_point now) const {
         return view_->primary_state_ == primary_state::usable && view_->primary_ == id &&
-               published_lease_.is_valid_at(now);
+               published_lease_.covers(view_->service_, id, now);
     }
 
     void note_start(const queued_statement& waiting) {
--- a/libraries/proxy/control_context.hpp
+++ b/libraries/proxy/control_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <backends/primary_directory.hpp>
 #include <backends/primary_health.hpp>
 #include <base/clock.hpp>
 #include <base/event.hpp>
@@ -83,16 +84,21 @@
         }
         log_changes(view);
         published_view_ = view;
+        primaries_ = usable_primaries(view);
+        // A primary that is being replaced is not used from now on, although the request threads still have
+        // the previous view.
+        shared_.published_lease_.publish({shared_.published_lease_.expiry(), primaries_});
         shared_.fleet_.publish(std::move(view));
         for (auto* thread_groups : groups_.all()) {
             boost::asio::post(thread_groups->executor(), [thread_groups] { thread_groups->refresh(); });
         }
     }
 
-    /// Publishes the expiry of the primary lease to the request threads.
+    /// Publishes the primary lease to the request threads, with the primaries that it covers. Precondition:
+    /// the takeovers that the lease rests on were adopted.
     void publish_primary_lease() {
-        shared_.published_lease_.set_expiry(primary_lease_.expiry());
-        const bool is_valid = shared_.published_lease_.is_valid_at(base::clock::now());
+        shared_.published_lease_.publish({primary_lease_.expiry(), primaries_});
+        const bool is_valid = base::clock::now() < primary_lease_.expiry();
         if (is_valid != was_primary_lease_valid_) {
             was_primary_lease_valid_ = is_valid;
             base::log_event(events::evidence_changed, {{"held", is_valid ? "yes" : "no"}});
@@ -382,7 +388,18 @@
         shared_.configuration_lag_.set(configuration_lag_);
     }
 
+    [[nodiscard]] static backends::primary_directory usable_primaries(const fleet_view& view) {
+        backends::primary_directory::entries primaries;
+        for (const auto& [service, current] : view->services_) {
+            if (current->primary_state_ == backends::primary_state::usable) {
+                primaries.emplace(service, current->primary_);
+            }
+        }
+        return backends::primary_directory{std::move(primaries)};
+    }
+
     fleet_view published_view_;
+    backends::primary_directory primaries_;
     configuration_lag configuration_lag_;
     bool is_history_confirmed_ = false;
     std::set<std::string> earlier_daemons_;
