Http: Reset a connection whose request has timed out

Cause: SO_LINGER was set after the exchange had failed. At a timeout the stream has closed its socket by then, so the option had no effect, and the kernel went on sending the bytes.

Change: the option is set when the connection is made, so that each close resets it.

--- a/libraries/http/client_connection.cpp
+++ b/libraries/http/client_connection.cpp
@@ -128,6 +128,11 @@
     co_await created->stream_.async_connect(target, asio::redirect_error(asio::use_awaitable, failure));
     if (!failure) {
         created->stream_.socket().set_option(asio::ip::tcp::no_delay{true}, failure);
+        // Makes each way of closing the connection reset it and discard unsent bytes: the stream itself
+        // closes the socket at a timeout. Otherwise a request that was abandoned during a network partition
+        // could still arrive after the partition has ended.
+        boost::system::error_code ignored;
+        created->stream_.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
         enable_keep_alive(created->stream_.socket());
     }
     if (!failure && created->tls_) {
@@ -179,10 +184,6 @@
     }
     is_receiving_body_ = false;
     if (failure) {
-        // SO_LINGER with timeout 0 resets the connection and discards unsent bytes. Otherwise a request that
-        // was abandoned during a network partition could still arrive after the partition has ended.
-        boost::system::error_code ignored;
-        stream_.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
         stream_.close();
         co_return exchange_error(failure, peer_);
     }
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -89,6 +91,33 @@
 }
 
 // Guards against unbounded memory use for an oversized body; the caller receives a typed error.
+// Guards against a request that arrives after its sender has given it up, such as a promotion call that a
+// network partition held back (review/13): closing the socket alone lets the kernel send on.
+TEST(http, a_request_that_timed_out_is_reset) {
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::make_address(local.address()), local.port()}};
+    boost::system::error_code failure;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            auto connection = co_await http::client_connection::connect(local, time_limit);
+            EXPECT_TRUE(connection);
+            auto accepted = co_await acceptor.async_accept(asio::use_awaitable);
+            http::request message{{.method_ = "POST", .target_ = "/"}};
+            const auto response =
+                co_await connection->exchange(std::move(message), base::clock::duration{50});
+            EXPECT_FALSE(response);
+            std::string input;
+            while (!failure) {
+                co_await asio::async_read(accepted, asio::dynamic_buffer(input), asio::transfer_at_least(1),
+                                          asio::redirect_error(asio::use_awaitable, failure));
+            }
+        },
+        asio::detached);
+    context.run_for(std::chrono::seconds{20});
+    EXPECT_EQ(failure, asio::error::connection_reset);
+}
+
 TEST(http, oversized_body_is_refused_with_a_typed_error) {
     run_with_echo_server({.body_bytes_ = 100}, [](echo_server&) -> asio::awaitable<void> {
         auto connection = co_await http::client_connection::connect(local, time_limit);
