Proxy: Keep a primary that is listed as a replica and does not report

A primary that is away from the store may be listed as a replica. The leader asks it before it replaces it, and took one request without an answer for a demotion.

Change: only a report that it does not lead, or leads in an older term, confirms the demotion. If it has failed, the daemons that use it notice, and it is replaced as failed.

Evidence: `takeover_reports.KeepsAPrimaryThatIsListedAsReplicaAndDoesNotReport` fails on the code before, which promotes another database, and passes with this change.

--- a/libraries/proxy/takeover_runner.hpp
+++ b/libraries/proxy/takeover_runner.hpp
@@ -283,9 +283,9 @@
     /// Replaces a primary, from the open record to the promotion. Each step is logged.
     boost::asio::awaitable<void> replace_primary(takeover current) {
         if (current.reason_ == takeover_reason::demoted) {
-            const bool is_leading = co_await still_leads(current);
-            if (is_leading) {
-                // Its entry is out of date: the database or this daemon has lost contact with the store.
+            const bool is_demoted = co_await has_lost_lead(current);
+            if (!is_demoted) {
+                // Its entry may be out of date: the database or this daemon has lost contact with the store.
                 demoted_at_.insert_or_assign(current.service_, base::clock::now());
                 co_return;
             }
@@ -302,19 +302,25 @@
         }
     }
 
-    /// Returns whether a primary that is listed as a replica reports that it leads, in the term in which the
-    /// last takeover settled on it or a later one.
-    boost::asio::awaitable<bool> still_leads(const takeover& current) {
+    /// Returns whether a primary that is listed as a replica reports that it does not lead, or leads only in
+    /// a term before the one in which the last takeover settled on it. A database that does not report may
+    /// lead; if it has failed, the daemons that use it notice.
+    boost::asio::awaitable<bool> has_lost_lead(const takeover& current) {
         const auto listing = control_.knowledge_.find_database(current.replaced_);
         const auto record = control_.knowledge_.record_of(current.service_);
         if (!listing || !record) {
-            co_return false;
+            co_return true;
         }
         auto status_request = protocol::status();
         const auto report = co_await send_request(*listing, std::move(status_request));
+        if (!report) {
+            log_step(current, "demotion", "not confirmed: " + report.last_reason().message());
+            co_return false;
+        }
         const auto settled_term = (*record)->primary_term_;
-        co_return report && report->role_ == backends::listed_role::primary &&
-            (settled_term == daemons::unknown_term || report->term_ >= settled_term);
+        const bool is_leading = report->role_ == backends::listed_role::primary &&
+                                (settled_term == daemons::unknown_term || report->term_ >= settled_term);
+        co_return !is_leading;
     }
 
     static const char* reason_name(takeover_reason reason) {
--- a/tests/proxy/test_takeover_reports.cpp
+++ b/tests/proxy/test_takeover_reports.cpp
@@ -151,4 +151,20 @@
     EXPECT_TRUE(promotions_of(fleet).empty());
 }
 
+// Guards against replacing a primary that leads because its entry is out of date and one request for its
+// status failed (review/9): commits that it acknowledged meanwhile come back with it.
+TEST(takeover_reports, KeepsAPrimaryThatIsListedAsReplicaAndDoesNotReport) {
+    session_fleet fleet{port_of_test(10)};
+    const auto daemon = start_with_deaf_replica(fleet);
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) { fixture.database(0).crash(); });
+    ASSERT_TRUE(serves_writes(fleet, daemon, "COMPLETE sig.i-1"));
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.database(1).set_status_error("ERROR THROTTLED i-1");
+        fixture.list_database(1, false, false);
+    });
+    std::this_thread::sleep_for(disruption);
+    EXPECT_TRUE(serves_writes(fleet, daemon, "COMPLETE sig.i-1"));
+    EXPECT_EQ(promotions_of(fleet), std::vector<std::string>{"i-1"});
+}
+
 } // namespace
