Backends: Use no connection to a primary that has lost its log

Cause: once a takeover has settled, the primary is known by its id only, and nothing compared its log with what it had reported.

Change: the position in the READY of a new connection to the primary is compared with the newest one that the primary had reported before the connection was requested. A log that is shorter is not that of the primary: the connection is closed, and the database counts as failing, which starts a takeover. A statement reaches another incarnation only over a new connection.

Not covered: a daemon that has had no response from this primary knows no position of it, and reads at the empty one until the takeover, as before.

--- a/libraries/backends/position_history.cpp
+++ b/libraries/backends/position_history.cpp
@@ -40,6 +40,10 @@
     return found == samples_.end() ? std::nullopt : std::optional{found->position_};
 }
 
+std::optional<base::log_position> position_history::newest() const {
+    return samples_.empty() ? std::nullopt : std::optional{samples_.back().position_};
+}
+
 std::optional<base::log_position>
 position_history::required_position(base::clock::duration staleness,
                                     std::optional<base::log_position> session_position,
--- a/libraries/backends/position_history.hpp
+++ b/libraries/backends/position_history.hpp
@@ -33,6 +33,9 @@
     required_position(base::clock::duration staleness, std::optional<base::log_position> session_position,
                       base::clock::time_point now) const;
 
+    /// Returns the newest position; empty when there is none.
+    [[nodiscard]] std::optional<base::log_position> newest() const;
+
     /// Removes all positions, because the primary may have changed.
     void clear() noexcept { samples_.clear(); }
 
--- a/libraries/backends/service_group.hpp
+++ b/libraries/backends/service_group.hpp
@@ -614,6 +614,7 @@
         open_failure failure;
         // A database that becomes the primary meanwhile reports a position from before.
         const bool was_primary = self->is_usable_primary(one->listing()->id_, base::clock::now());
+        const auto known_position = was_primary ? self->positions_.newest() : std::nullopt;
         const connection_timeouts timeouts;
         auto listing = one->listing();
         auto opened = co_await statement_connection<Protocol>::open(self->executor_, std::move(listing),
@@ -622,8 +623,14 @@
         if (opened && !tenant.empty()) {
             self->counters_.opened_.fetch_add(1, std::memory_order_relaxed);
         }
-        if (opened) {
-            const auto& position = opened->first_position();
+        const auto position = opened ? opened->first_position() : std::nullopt;
+        // The log of a primary never becomes shorter, but a database may start again under its id without it.
+        const bool has_lost_log =
+            opened && known_position && (!position || position->position_ < *known_position);
+        if (has_lost_log) {
+            opened->close();
+            self->note_open_failure(*one, tenant, "it has lost its log");
+        } else if (opened) {
             if (position && was_primary && self->is_usable_primary(one->listing()->id_, now)) {
                 self->positions_.note(*position);
             }
--- a/tests/proxy/test_staleness.cpp
+++ b/tests/proxy/test_staleness.cpp
@@ -59,4 +59,32 @@
     }
 }
 
+// Guards against reads at a primary that has started again under its id without its log: its entry still
+// counted as that of the primary (review/11).
+TEST(staleness, ReadsNothingFromAPrimaryThatStartedAgainWithoutItsLog) {
+    session_fleet fleet{first_port + 40};
+    fleet.publish_all();
+    const auto daemon = fleet.start_daemon();
+    ASSERT_TRUE(fleet.becomes_ready(daemon));
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.database(1).set_position(5);
+        fixture.list_database(0, true, true);
+    });
+    session_client client{fleet.client_port(daemon), "payouts"};
+    ASSERT_TRUE(eventually([&client] { return client.run("STORE a 1").starts_with("COMPLETE sig.i-1."); }));
+    fleet.run_on_stand_in_thread([](session_fleet& fixture) {
+        fixture.database(2).set_position(fixture.database(1).position());
+        fixture.database(1).crash();
+        fixture.database(1).set_primary(false, 1);
+        fixture.database(1).set_position(1);
+        fixture.restart_database(1);
+        fixture.list_database(1, false, false);
+    });
+    EXPECT_TRUE(eventually([&client] {
+        const auto response = client.run("FETCH a");
+        EXPECT_FALSE(response.starts_with("ROW i-1 ")) << response;
+        return response.starts_with("ROW ");
+    }));
+}
+
 } // namespace
