--- a/tests/soak/test_fault_schedule.cpp
+++ b/tests/soak/test_fault_schedule.cpp
@@ -47,6 +47,19 @@
     EXPECT_TRUE(is_any_pair_close);
 }
 
+// Guards against strains that no seed plays, or that go on after the faults.
+TEST(fault_schedule, StrainsDatabasesWithinTheFaults) {
+    constexpr base::clock::duration length{15'000};
+    std::set<soak::database_strain_kind> kinds;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const auto& one : soak::make_database_strains(seed, length)) {
+            kinds.insert(one.kind_);
+            EXPECT_LE(one.at_ + one.length_, length);
+        }
+    }
+    EXPECT_EQ(kinds.size(), soak::database_strain_kind_count);
+}
+
 // Guards against rejections that no seed plays, or that a configuration may outlast.
 TEST(fault_schedule, RejectsADaemonInSomeSeedsForLongerThanAConfigurationMayTake) {
     std::set<bool> plays;
--- a/utilities/sassafras_soak/fault_schedule.cpp
+++ b/utilities/sassafras_soak/fault_schedule.cpp
@@ -49,6 +49,7 @@
 // Draws the returns apart from the faults of the same seed.
 constexpr std::uint64_t numbers_of_returns = 0x9E3779B97F4A7C15;
 constexpr std::uint64_t numbers_of_rejections = 0xD1B54A32D192ED03;
+constexpr std::uint64_t numbers_of_strains = 0x8CB92BA72F3D8DD7;
 
 class random_numbers {
 public:
@@ -114,6 +115,22 @@
     return returns;
 }
 
+std::vector<database_strain> make_database_strains(std::uint64_t seed, base::clock::duration length) {
+    random_numbers random{seed ^ numbers_of_strains};
+    std::vector<database_strain> strains;
+    auto at = random.between(0, longest_gap_ms);
+    while (at + base::clock::duration{shortest_fault_ms} < length) {
+        database_strain one;
+        one.at_ = at;
+        one.length_ = std::min(random.between(shortest_fault_ms, longest_fault_ms), length - at);
+        one.kind_ = static_cast<database_strain_kind>(random.below(database_strain_kind_count));
+        one.target_ = static_cast<std::uint32_t>(random.below(1'000));
+        strains.push_back(one);
+        at += random.between(0, 2 * longest_gap_ms);
+    }
+    return strains;
+}
+
 std::optional<store_rejection> make_store_rejection(std::uint64_t seed, base::clock::duration length) {
     random_numbers random{seed ^ numbers_of_rejections};
     if (random.below(2) == 0) {
--- a/utilities/sassafras_soak/fault_schedule.hpp
+++ b/utilities/sassafras_soak/fault_schedule.hpp
@@ -93,6 +93,29 @@
 [[nodiscard]] std::optional<store_rejection> make_store_rejection(std::uint64_t seed,
                                                                   base::clock::duration length);
 
+/// What a database that is up refuses to do.
+enum class database_strain_kind : std::uint8_t { accept_connections, report_status, begin_transactions };
+
+inline constexpr std::uint8_t database_strain_kind_count =
+    static_cast<std::uint8_t>(database_strain_kind::begin_transactions) + 1;
+
+/// A database is up, and refuses some of what it is asked.
+struct database_strain {
+    /// Since the start of the traffic.
+    base::clock::duration at_{0};
+    base::clock::duration length_{0};
+    database_strain_kind kind_ = database_strain_kind::accept_connections;
+    /// Chooses the database; taken modulo their number.
+    std::uint32_t target_ = 0;
+
+    friend auto operator<=>(const database_strain&, const database_strain&) = default;
+};
+
+/// Returns strains in the order of their times. They come beside the faults of `make_schedule`, and their
+/// numbers are drawn apart from them. Thread safety: pure.
+[[nodiscard]] std::vector<database_strain> make_database_strains(std::uint64_t seed,
+                                                                 base::clock::duration length);
+
 /// From a time on, a key belongs to another tenant, or to none.
 struct key_change {
     /// Since the start of the traffic.
--- a/utilities/sassafras_soak/soak_run.cpp
+++ b/utilities/sassafras_soak/soak_run.cpp
@@ -8,9 +8,11 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstddef>
 #include <ostream>
+#include <string>
 #include <utility>
 
 namespace soak {
@@ -280,6 +282,34 @@
     }
 }
 
+asio::awaitable<void> soak_run::strain_databases(base::clock::time_point started_at, std::ostream& progress) {
+    for (const auto& one : make_database_strains(settings_.seed_, settings_.length_)) {
+        co_await http::sleep_for(started_at + one.at_ - base::clock::now());
+        progress << "  " << one.at_.count() << " ms: database_strain " << static_cast<int>(one.kind_)
+                 << " of " << one.target_ << " for " << one.length_.count() << " ms\n";
+        asio::co_spawn(context_, strain(one), asio::detached);
+    }
+}
+
+asio::awaitable<void> soak_run::strain(database_strain one) {
+    auto& group = *groups_.at(one.target_ % groups_.size());
+    auto& database = group.database(one.target_ / groups_.size() % group.size());
+    const auto set = [&database, kind = one.kind_](const std::string& code) {
+        const auto error = code.empty() ? code : "ERROR " + code + " " + database.id();
+        if (kind == database_strain_kind::accept_connections) {
+            database.set_start_error(error);
+        } else if (kind == database_strain_kind::report_status) {
+            database.set_status_error(error);
+        } else {
+            database.set_begin_error(error);
+        }
+    };
+    constexpr std::array codes{"CONNLIMIT", "THROTTLED", "FAILED"};
+    set(codes.at(static_cast<std::size_t>(one.kind_)));
+    co_await http::sleep_for(one.length_);
+    set({});
+}
+
 asio::awaitable<void> soak_run::conduct(std::ostream& progress) {
     asio::co_spawn(context_, keep_daemons_running(), asio::detached);
     asio::co_spawn(context_, copy_store(), asio::detached);
@@ -297,6 +327,7 @@
     }
     if (settings_.has_faults_) {
         asio::co_spawn(context_, reject_daemon(started_at, progress), asio::detached);
+        asio::co_spawn(context_, strain_databases(started_at, progress), asio::detached);
     }
     const auto schedule = settings_.has_faults_ ? make_schedule(settings_.seed_, settings_.length_)
                                                 : std::vector<scheduled_fault>{};
--- a/utilities/sassafras_soak/soak_run.hpp
+++ b/utilities/sassafras_soak/soak_run.hpp
@@ -80,6 +80,9 @@
     /// Lets the store reject one daemon, which its peers keep up to date, so that no contact counts as lost.
     [[nodiscard]] boost::asio::awaitable<void> reject_daemon(base::clock::time_point started_at,
                                                              std::ostream& progress);
+    /// Plays the strains of the databases, which may overlap.
+    boost::asio::awaitable<void> strain_databases(base::clock::time_point started_at, std::ostream& progress);
+    boost::asio::awaitable<void> strain(database_strain one);
     /// Notes that a daemon has no contact with the store for some time from now on.
     void note_lost_contact(std::uint32_t daemon, base::clock::duration length);
     void check_names_of_connections();
