Soak, Tests: Start daemons without the sockets of the stand-ins

Cause: a daemon that the soak starts inherits its listening sockets. The stand-ins listen with SO_REUSEPORT, so that after a stand-in database has restarted the kernel still hands part of the connections to the socket that a daemon holds, where nobody accepts them. `ss -ltnp` showed 22 listening sockets in a running daemon, among them those of the databases and of other daemons. The more databases and daemons restart, the more connections are lost.

Change: the daemons of the soak and of the test fleet inherit standard streams only. A stand-in database closes a connection that it refuses, as the protocol says; the daemon waited 300 ms for that before.

--- a/stand_ins/session_platform/line_database.cpp
+++ b/stand_ins/session_platform/line_database.cpp
@@ -124,8 +124,12 @@
         while (base::clock::now() < received_at + self->answer_delay_ + more_delay) {
             co_await http::sleep_for(delay_check_interval);
         }
+        const bool is_refused = word == "START" && reply.starts_with("ERROR ");
         const bool is_sent = co_await socket->write(std::move(reply));
-        if (!is_sent) {
+        if (is_refused) {
+            socket->close();
+        }
+        if (!is_sent || is_refused) {
             co_return;
         }
     }
--- a/tests/proxy/session_fleet.cpp
+++ b/tests/proxy/session_fleet.cpp
@@ -252,6 +252,9 @@
                                            O_WRONLY | O_CREAT | O_TRUNC, owner_may_read_and_write);
         ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     }
+    // A listening socket of the stand-ins that the daemon inherits takes connections after a stand-in has
+    // closed it.
+    ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     EXPECT_EQ(::posix_spawn(&process, program.c_str(), &actions, nullptr, arguments.data(), environ), 0);
     ::posix_spawn_file_actions_destroy(&actions);
     daemons_.push_back(process);
--- a/utilities/sassafras_soak/daemon_process.cpp
+++ b/utilities/sassafras_soak/daemon_process.cpp
@@ -69,6 +69,9 @@
     ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                        readable_file);
     ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A listening socket of the stand-ins that the daemon inherits takes connections after a stand-in has
+    // closed it.
+    ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const bool is_started =
         ::posix_spawn(&process_, program_.c_str(), &actions, nullptr, arguments.data(), environ) == 0;
     ::posix_spawn_file_actions_destroy(&actions);
